--- /dev/null
+++ b/include/vanillahill/core/time.hpp
@@ -0,0 +1,45 @@
+/// \file
+/// Time: every module is given the time; only a clock reads it.
+#pragma once
+
+#include <chrono>
+#include <concepts>
+
+namespace vanillahill {
+
+using Duration = std::chrono::nanoseconds;
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// A source of monotonic time.
+template <typename T>
+concept Clock = requires(const T &Source) {
+  { Source.now() } -> std::same_as<TimePoint>;
+};
+
+/// The monotonic clock of the machine.
+class SystemClock {
+public:
+  /// \brief Reads the clock. \return the present time. \note Thread safe.
+  TimePoint now() const { return std::chrono::steady_clock::now(); }
+};
+
+/// A clock that stands still until a test advances it.
+class PausedClock {
+public:
+  /// \brief Reads the clock. \return the time last set.
+  TimePoint now() const { return m_Now; }
+  /// \brief Moves time forward. \param Step how far
+  void advance(Duration Step) { m_Now += Step; }
+
+private:
+  TimePoint m_Now{};
+};
+
+/// \brief Milliseconds, rounded down, as messages and logs give them.
+/// \param Value any duration
+/// \return whole milliseconds
+constexpr std::int64_t toMillis(Duration Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
+
+} // namespace vanillahill
--- /dev/null
+++ b/include/vanillahill/kernel/events.hpp
@@ -0,0 +1,213 @@
+/// \file
+/// Typed events into the kernel and typed actions out of it. The kernel opens no socket and reads
+/// no clock: each call of Node::handle is given the time.
+#pragma once
+
+#include "vanillahill/core/ids.hpp"
+#include "vanillahill/core/time.hpp"
+#include "vanillahill/peer/message.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace vanillahill::kernel {
+
+/// What became of one attempt at a backend server.
+enum class AttemptResult : std::uint8_t {
+  /// A whole, matching reply came.
+  Completed,
+  /// The server said that it did not start the request (VH-Not-Run).
+  NotRun,
+  /// No byte of the request left this VM.
+  NotSent,
+  /// Bytes were sent and no whole reply came: it may have run.
+  Unknown,
+};
+
+/// Why a request was refused, or how it ended. Each has its counter.
+enum class Reason : std::uint8_t {
+  None,
+  /// The deadline cannot be met or has passed while the request waited.
+  DeadlineMissed,
+  /// The queue is full, or a request of more weight took the place.
+  Overload,
+  /// No backend server of the service may be used.
+  NoServer,
+  /// Every allowed attempt was refused before it started.
+  AttemptsRefused,
+  /// The retry budget is spent.
+  RetryBudget,
+  /// An attempt was sent and its outcome is not known.
+  AttemptLost,
+  /// The deadline passed while an attempt was running.
+  DeadlineRunning,
+  /// A non-idempotent request without an idempotency key where one is needed.
+  KeyMissing,
+  /// The key was sealed by a repeat through another VM.
+  KeySealed,
+  /// The key is in use and its outcome is not known.
+  KeyUnknown,
+  /// A VM that may have seen the key could not be asked.
+  KeyUnasked,
+  /// The key table is full.
+  KeyTableFull,
+  /// The key is older than callers may repeat.
+  KeyExpired,
+  /// This VM holds no membership lease, so it takes no first attempts.
+  NoLease,
+  /// This VM is leaving or has no configuration yet.
+  NotServing,
+  /// The path names no service or kind.
+  UnknownKind,
+};
+
+/// \brief The name of a reason, as counters and answers show it.
+/// \param Value the reason
+/// \return lower case words joined by "_"
+std::string_view toString(Reason Value);
+
+/// What the caller is told.
+enum class Outcome : std::uint8_t { Completed, NotRun, Unknown };
+
+/// When the caller first sent this request.
+struct KeyAge {
+  /// The caller says that this is its first attempt.
+  bool m_First = false;
+  /// How long ago the first attempt was sent, when the caller says so.
+  std::optional<Duration> m_Age;
+};
+
+/// A caller's request arrived whole.
+struct RequestArrived {
+  RequestId m_Request{};
+  ServiceId m_Service{};
+  KindId m_Kind{};
+  /// Empty when the caller sent none.
+  std::string m_Key;
+  KeyAge m_KeyAge;
+};
+
+/// The caller closed its connection before its answer.
+struct CallerGone {
+  RequestId m_Request{};
+};
+
+/// An attempt came to its end. Sent exactly once for each Dispatch, also after CancelAttempt.
+struct AttemptEnded {
+  AttemptId m_Attempt{};
+  AttemptResult m_Result = AttemptResult::Unknown;
+  /// Set for Completed.
+  ReplyPtr m_Reply;
+  /// The server said that it is leaving.
+  bool m_ServerLeaving = false;
+};
+
+/// A measuring request came to its end.
+struct ProbeEnded {
+  ServerId m_Server{};
+  bool m_Healthy = false;
+};
+
+/// A message came from another VM.
+struct PeerReceived {
+  VmId m_From{};
+  peer::Message m_Message;
+};
+
+/// One entry of the platform's VM list.
+struct VmEntry {
+  std::string m_Name;
+  /// IP:port where other VMs reach it.
+  std::string m_PeerAddress;
+  std::string m_DataCenter;
+  bool m_Leaving = false;
+};
+
+/// The platform's VM list was read.
+struct VmListRead {
+  std::vector<VmEntry> m_Vms;
+};
+
+/// One record of the log.
+struct LogRecord {
+  std::uint64_t m_Offset = 0;
+  std::string m_Data;
+};
+
+/// Records were read from the log, in order.
+struct LogRead {
+  std::vector<LogRecord> m_Records;
+  /// Offset to read next.
+  std::uint64_t m_Next = 0;
+};
+
+/// The process was told to stop.
+struct StopRequested {};
+
+/// Time passed; sent when an armed timer fires.
+struct TimerFired {};
+
+using Event = std::variant<RequestArrived, CallerGone, AttemptEnded, ProbeEnded, PeerReceived,
+                           VmListRead, LogRead, StopRequested, TimerFired>;
+
+/// Send the request to a backend server.
+struct Dispatch {
+  RequestId m_Request{};
+  AttemptId m_Attempt{};
+  ServerId m_Server{};
+  /// The reply must be whole by then.
+  TimePoint m_Deadline{};
+};
+
+/// Give an attempt up; its connection is closed, never reused.
+struct CancelAttempt {
+  AttemptId m_Attempt{};
+};
+
+/// The one and final answer to a request.
+struct Answer {
+  RequestId m_Request{};
+  Outcome m_Outcome = Outcome::NotRun;
+  Reason m_Reason = Reason::None;
+  /// Set for Completed.
+  ReplyPtr m_Reply;
+  /// When the caller should come back; zero when a repeat has no use.
+  Duration m_RetryAfter{};
+};
+
+/// Send a message to another VM; lost silently when there is no connection.
+struct SendPeer {
+  VmId m_To{};
+  peer::Message m_Message;
+};
+
+/// Keep a connection to a VM; replaces the earlier set as a whole.
+struct ConnectPeers {
+  std::vector<VmEntry> m_Vms;
+};
+
+/// Append a record to the log (renewal of records that would age out).
+struct AppendLog {
+  std::string m_Data;
+};
+
+/// Send one measuring request to a backend server.
+struct Probe {
+  ServerId m_Server{};
+};
+
+/// New settings are in force; Node::settings() gives them.
+struct SettingsChanged {};
+
+/// Nothing is in flight any more after StopRequested: the process may exit.
+struct Stopped {};
+
+using Action = std::variant<Dispatch, CancelAttempt, Answer, SendPeer, ConnectPeers, AppendLog,
+                            Probe, SettingsChanged, Stopped>;
+using Actions = std::vector<Action>;
+
+} // namespace vanillahill::kernel
--- /dev/null
+++ b/include/vanillahill/kernel/status.hpp
@@ -0,0 +1,72 @@
+/// \file
+/// A snapshot of a kernel for the status page, the metrics and the tests.
+#pragma once
+
+#include "vanillahill/kernel/events.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace vanillahill::kernel {
+
+/// Number of values of Reason.
+inline constexpr std::size_t ReasonCount = static_cast<std::size_t>(Reason::UnknownKind) + 1;
+
+/// Why an attempt was followed by another one.
+enum class RetryReason : std::uint8_t { ServerNotRun, NotSent, LostIdempotent, Hedge };
+inline constexpr std::size_t RetryReasonCount = static_cast<std::size_t>(RetryReason::Hedge) + 1;
+
+/// \brief The name of a retry reason, as counters show it.
+std::string_view toString(RetryReason Value);
+
+/// Counters of one kind of request; they only grow.
+struct KindCounters {
+  ServiceId m_Service{};
+  KindId m_Kind{};
+  std::string m_Name;
+  std::uint64_t m_Arrived = 0;
+  std::uint64_t m_Completed = 0;
+  std::array<std::uint64_t, ReasonCount> m_NotRun{};
+  std::array<std::uint64_t, ReasonCount> m_Unknown{};
+  std::array<std::uint64_t, RetryReasonCount> m_Retries{};
+};
+
+/// What is known of one backend server.
+struct ServerStatus {
+  ServerId m_Server{};
+  std::string m_Name;
+  std::uint32_t m_InFlight = 0;
+  std::uint32_t m_SlotsHeld = 0;
+  bool m_Ejected = false;
+  bool m_Leaving = false;
+  std::uint64_t m_Probes = 0;
+};
+
+/// One VM as this VM sees it.
+struct MemberStatus {
+  VmId m_Vm{};
+  std::string m_Name;
+  std::string m_DataCenter;
+  bool m_Alive = false;
+  peer::VmState m_State = peer::VmState::Starting;
+  Duration m_SilentFor{};
+  std::vector<peer::FileVersion> m_Versions;
+};
+
+struct NodeStatus {
+  std::string m_Name;
+  peer::VmState m_State = peer::VmState::Starting;
+  bool m_HasLease = false;
+  std::vector<peer::FileVersion> m_Versions;
+  std::vector<KindCounters> m_Kinds;
+  std::vector<ServerStatus> m_Servers;
+  std::vector<MemberStatus> m_Members;
+  std::uint64_t m_InFlight = 0;
+  std::uint64_t m_Queued = 0;
+  std::uint64_t m_Keys = 0;
+  std::uint64_t m_PeerMessagesSent = 0;
+};
+
+} // namespace vanillahill::kernel
--- /dev/null
+++ b/include/vanillahill/settings/settings.hpp
@@ -0,0 +1,126 @@
+/// \file
+/// Typed settings. What operators publish (SiteSettings) and what one process is told (VmSettings).
+#pragma once
+
+#include "vanillahill/core/ids.hpp"
+#include "vanillahill/core/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace vanillahill {
+
+/// A kind of request of one service.
+struct KindSettings {
+  KindId m_Id{};
+  std::string m_Name;
+  /// Worth of one request answered in time, relative to the other kinds.
+  double m_Weight = 1.0;
+  /// From arrival at the VM to the whole answer.
+  Duration m_Deadline = std::chrono::seconds(2);
+  /// An idempotent request may run more than once.
+  bool m_Idempotent = false;
+};
+
+/// One backend server.
+struct ServerSettings {
+  ServerId m_Id{};
+  std::string m_Name;
+  /// IP:port.
+  std::string m_Address;
+  std::string m_DataCenter;
+  /// Requests that it runs at once.
+  std::uint32_t m_Slots = 6;
+  /// Connections that it accepts over all VMs.
+  std::uint32_t m_MaxConnections = 250;
+  /// A leaving server gets no new request.
+  bool m_Leaving = false;
+};
+
+/// How the kernel decides for one service.
+struct PolicySettings {
+  /// Name of a registered policy set: "leased" or "naive".
+  std::string m_Name = "leased";
+  /// Requests that exist only to measure, per backend server and second, over all VMs.
+  double m_MeasuringBudget = 2.0;
+  /// Retries and hedges as a share of first attempts.
+  double m_RetryRatio = 0.1;
+  /// A hedge is sent when an attempt has run for this multiple of the usual time; 0 turns it off.
+  double m_HedgeFactor = 3.0;
+  /// Requests that may wait in one VM.
+  std::uint32_t m_QueueLimit = 512;
+};
+
+/// A set of interchangeable backend servers with the kinds of request that they serve.
+struct ServiceSettings {
+  ServiceId m_Id{};
+  std::string m_Name;
+  std::vector<KindSettings> m_Kinds;
+  std::vector<ServerSettings> m_Servers;
+  PolicySettings m_Policy;
+};
+
+/// Bounds towards callers.
+struct CallerLimits {
+  std::uint32_t m_HeaderBytes = 8192;
+  std::uint32_t m_BodyBytes = 1U << 20U;
+  std::uint32_t m_Connections = 2048;
+  /// A caller that is slower than this to send a request or to read an answer is cut off.
+  Duration m_Timeout = std::chrono::seconds(10);
+};
+
+/// Idempotency keys of non-idempotent requests.
+struct IdempotencySettings {
+  /// How long a caller may repeat a request; keys are kept for longer than this.
+  Duration m_RepeatWindow = std::chrono::minutes(10);
+  /// Keys one VM keeps at most; at the bound new keyed requests are refused as not run.
+  std::uint32_t m_MaxKeys = 100000;
+  /// Bytes of kept answers at most in one VM.
+  std::uint32_t m_MaxAnswerBytes = 8U << 20U;
+  /// How long a repeat waits for the answers of the other VMs.
+  Duration m_QueryTimeout = std::chrono::milliseconds(300);
+};
+
+/// Membership among the entry VMs.
+struct MembershipSettings {
+  /// VMs that a deployment may ever have at once; shares of budgets are fixed by it.
+  std::uint32_t m_MaxVms = 24;
+  Duration m_HeartbeatPeriod = std::chrono::milliseconds(200);
+  /// A VM that no peer has acknowledged for this long takes no first attempts.
+  Duration m_Lease = std::chrono::seconds(2);
+  /// Peers drop a silent VM this long after its lease ended.
+  Duration m_LeaseMargin = std::chrono::seconds(1);
+};
+
+/// The merged settings of one site: base file plus overlay.
+struct SiteSettings {
+  std::string m_Site;
+  std::vector<std::string> m_DataCenters;
+  std::vector<ServiceSettings> m_Services;
+  CallerLimits m_Callers;
+  IdempotencySettings m_Idempotency;
+  MembershipSettings m_Membership;
+};
+
+/// What one entry process is told at its start.
+struct VmSettings {
+  std::string m_Name;
+  std::string m_Site;
+  std::string m_DataCenter;
+  /// IP:port for callers, for other VMs and for operators.
+  std::string m_CallerAddress;
+  std::string m_PeerAddress;
+  std::string m_AdminAddress;
+  /// IP:port of the platform's log and VM list.
+  std::string m_PlatformAddress;
+  /// Shown by operators in "Authorization: Bearer" on the admin address.
+  std::string m_AdminToken;
+  /// Shown by VMs of one deployment to each other.
+  std::string m_PeerToken;
+  std::uint32_t m_Workers = 2;
+  std::uint64_t m_Seed = 0;
+  std::string m_LogLevel = "info";
+};
+
+} // namespace vanillahill
