Membership and at-most-once guard for keyed requests

Cause: a caller may repeat a non-idempotent request through another VM while the first attempt is under way, delayed, or its VM is paused or dead. KeyAnswer gains m_Incarnation and m_Members; IdempotencySettings gains m_TransitLimit.

--- a/include/vanillahill/peer/message.hpp
+++ b/include/vanillahill/peer/message.hpp
@@ -107,6 +107,10 @@
   KeyState m_State = KeyState::Unknown;
   /// Set for Answered.
   ReplyPtr m_Reply;
+  /// Start of the process that answers: one started anew has forgotten the keys of the earlier.
+  std::uint64_t m_Incarnation = 0;
+  /// VMs that the answering VM would itself ask, and itself: the asker must know them all.
+  std::vector<VmId> m_Members;
 };
 
 /// One configuration record as it stands in the log.
--- a/include/vanillahill/settings/settings.hpp
+++ b/include/vanillahill/settings/settings.hpp
@@ -80,6 +80,8 @@
   std::uint32_t m_MaxAnswerBytes = 8U << 20U;
   /// How long a repeat waits for the answers of the other VMs.
   Duration m_QueryTimeout = std::chrono::milliseconds(300);
+  /// Longest time that a request is under way between its caller and the VM.
+  Duration m_TransitLimit = std::chrono::seconds(10);
 };
 
 /// Membership among the entry VMs.
