--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -138,8 +138,11 @@
   std::string m_Data;
 };
 
-/// Records were read from the log, in order.
+/// Records were read from the log, in order. Each read starts where the one before ended, or at
+/// the oldest record kept.
 struct LogRead {
+  /// Oldest offset that the log still keeps ("first" of the reply).
+  std::uint64_t m_First = 0;
   std::vector<LogRecord> m_Records;
   /// Offset to read next.
   std::uint64_t m_Next = 0;
--- a/include/vanillahill/settings/settings.hpp
+++ b/include/vanillahill/settings/settings.hpp
@@ -93,6 +93,12 @@
   Duration m_LeaseMargin = std::chrono::seconds(1);
 };
 
+/// The platform's log.
+struct LogSettings {
+  /// How long the log keeps a record at least. Configuration is renewed well before that.
+  Duration m_Retention = std::chrono::hours(24);
+};
+
 /// The merged settings of one site: base file plus overlay.
 struct SiteSettings {
   std::string m_Site;
@@ -101,6 +107,7 @@
   CallerLimits m_Callers;
   IdempotencySettings m_Idempotency;
   MembershipSettings m_Membership;
+  LogSettings m_Log;
 };
 
 /// What one entry process is told at its start.
--- /dev/null
+++ b/src/settings/json-text.cpp
@@ -0,0 +1,78 @@
+#include "json-text.hpp"
+
+#include <set>
+
+namespace vanillahill::settings {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Follows the parser through the document and finds keys that stand twice in one object.
+class DuplicateFinder {
+public:
+  DuplicateFinder(const std::string &File, Problems &Found) : m_File(File), m_Found(Found) {}
+
+  void operator()(Json::parse_event_t Event, const Json &Value) {
+    switch (Event) {
+    case Json::parse_event_t::object_start:
+    case Json::parse_event_t::array_start:
+      m_Levels.emplace_back();
+      break;
+    case Json::parse_event_t::object_end:
+    case Json::parse_event_t::array_end:
+      m_Levels.pop_back();
+      break;
+    case Json::parse_event_t::key:
+      enterKey(Value.get<std::string>());
+      break;
+    case Json::parse_event_t::value:
+      break;
+    }
+  }
+
+private:
+  struct Level {
+    std::set<std::string> m_Keys;
+    std::string m_Current;
+  };
+
+  void enterKey(const std::string &Key) {
+    Level &Top = m_Levels.back();
+    Top.m_Current = Key;
+    if (!Top.m_Keys.insert(Key).second) {
+      m_Found.push_back({Errc::SettingsConflict, m_File, pointer(), "key \"" + Key + "\" twice",
+                         "each name once in an object"});
+    }
+  }
+
+  std::string pointer() const {
+    Json::json_pointer Result;
+    for (const Level &Each : m_Levels) {
+      Result /= Each.m_Current;
+    }
+    return Result.to_string();
+  }
+
+  const std::string &m_File;
+  Problems &m_Found;
+  std::vector<Level> m_Levels;
+};
+
+} // namespace
+
+std::optional<Json> parseJson(std::string_view Text, const std::string &File, Problems &Found) {
+  DuplicateFinder Finder(File, Found);
+  const auto Callback = [&Finder](int, Json::parse_event_t Event, Json &Value) {
+    Finder(Event, Value);
+    return true;
+  };
+  try {
+    return Json::parse(Text, Callback);
+  } catch (const Json::exception &Raised) {
+    Found.push_back({Errc::SettingsNotJson, File, "", Raised.what(), "one JSON document"});
+    return std::nullopt;
+  }
+}
+
+} // namespace vanillahill::settings
