--- a/src/settings/json-text.cpp
+++ b/src/settings/json_text.cpp
@@ -1,4 +1,4 @@
-#include "json-text.hpp"
+#include "json_text.hpp"
 
 #include <set>
 
--- a/src/settings/load.cpp
+++ b/src/settings/load.cpp
@@ -1,8 +1,8 @@
 #include "vanillahill/settings/load.hpp"
 
-#include "json-text.hpp"
-#include "site-reader.hpp"
-#include "text-rules.hpp"
+#include "json_text.hpp"
+#include "site_reader.hpp"
+#include "text_rules.hpp"
 
 #include <array>
 #include <cerrno>
--- a/src/settings/object-reader.cpp
+++ b/src/settings/object_reader.cpp
@@ -1,4 +1,4 @@
-#include "object-reader.hpp"
+#include "object_reader.hpp"
 
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
--- a/src/settings/site-reader.cpp
+++ b/src/settings/site_reader.cpp
@@ -1,6 +1,6 @@
-#include "site-reader.hpp"
+#include "site_reader.hpp"
 
-#include "text-rules.hpp"
+#include "text_rules.hpp"
 
 #include <algorithm>
 #include <map>
--- a/src/settings/site-reader.hpp
+++ b/src/settings/site_reader.hpp
@@ -2,7 +2,7 @@
 /// A merged JSON document to SiteSettings.
 #pragma once
 
-#include "object-reader.hpp"
+#include "object_reader.hpp"
 
 #include "vanillahill/settings/load.hpp"
 
--- a/src/settings/text-rules.cpp
+++ b/src/settings/text_rules.cpp
@@ -1,4 +1,4 @@
-#include "text-rules.hpp"
+#include "text_rules.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
