Peer codec: CBOR arrays, bounded parsing, heartbeats as differences

Change: peer/codec.hpp encodes [version, type, fields...] without names by nlohmann's CBOR. A shape check runs before the library: it bounds nesting, refuses indefinite lengths, maps, tags and lengths beyond the frame, because the library's parser recurses for each 0x81, 0x9f or 0x7f byte. peer/delta.hpp keeps the last heartbeat and acknowledgement of a connection and sends differences; a heartbeat without news is 4 bytes. Errors name message, list, index and field. Ruled out: field names (a heartbeat doubles), MessagePack (same size, less strict about lengths), generated protobuf code (smaller parser surface but one more generator for nine messages).

--- /dev/null
+++ b/src/peer/delta.cpp
@@ -0,0 +1,220 @@
+#include "vanillahill/peer/delta.hpp"
+
+#include "wire.hpp"
+
+#include <algorithm>
+
+namespace vanillahill::peer {
+
+namespace {
+
+using wire::FieldReader;
+using wire::Json;
+
+/// Which fields of a heartbeat follow in a difference, in this order.
+enum DeltaField : std::uint32_t {
+  DeltaState = 1U << 0U,
+  DeltaVersions = 1U << 1U,
+  /// The whole list of hints.
+  DeltaHints = 1U << 2U,
+  /// The hints that changed, as position, idle slots and queued requests in turn.
+  DeltaHintChanges = 1U << 3U,
+  DeltaAvoid = 1U << 4U,
+  DeltaKnown = 1U << 5U,
+  DeltaAll = (1U << 6U) - 1,
+};
+
+constexpr std::size_t NumbersPerHintChange = 3;
+
+bool sameVersions(const std::vector<FileVersion> &Left, const std::vector<FileVersion> &Right) {
+  return std::ranges::equal(Left, Right, [](const FileVersion &A, const FileVersion &B) {
+    return A.m_File == B.m_File && A.m_Version == B.m_Version;
+  });
+}
+
+bool sameServices(const std::vector<ServiceHint> &Left, const std::vector<ServiceHint> &Right) {
+  return std::ranges::equal(Left, Right, {}, &ServiceHint::m_Service, &ServiceHint::m_Service);
+}
+
+Json hintChanges(const std::vector<ServiceHint> &Base, const std::vector<ServiceHint> &Next) {
+  Json Out = Json::array();
+  for (std::size_t Index = 0; Index < Next.size(); ++Index) {
+    const ServiceHint &Hint = Next[Index];
+    if (Hint.m_IdleSlots != Base[Index].m_IdleSlots || Hint.m_Queued != Base[Index].m_Queued) {
+      Out.push_back(Index);
+      Out.push_back(Hint.m_IdleSlots);
+      Out.push_back(Hint.m_Queued);
+    }
+  }
+  return Out;
+}
+
+std::int64_t difference(std::uint64_t Next, std::uint64_t Base) {
+  return static_cast<std::int64_t>(Next - Base);
+}
+
+/// Adds a field to the difference when it changed.
+void append(Json &Fields, std::uint32_t &Mask, bool Changed, DeltaField Field, Json Value) {
+  if (Changed) {
+    Mask |= Field;
+    Fields.push_back(std::move(Value));
+  }
+}
+
+void appendHints(Json &Fields, std::uint32_t &Mask, const std::vector<ServiceHint> &Base,
+                 const std::vector<ServiceHint> &Next) {
+  if (!sameServices(Next, Base)) {
+    append(Fields, Mask, true, DeltaHints, wire::toItems(Next));
+    return;
+  }
+  Json Changes = hintChanges(Base, Next);
+  const bool Changed = !Changes.empty();
+  append(Fields, Mask, Changed, DeltaHintChanges, std::move(Changes));
+}
+
+std::vector<std::uint8_t> encodeDelta(const Heartbeat &Base, const Heartbeat &Next) {
+  std::uint32_t Mask = 0;
+  Json Fields = Json::array();
+  append(Fields, Mask, Next.m_State != Base.m_State, DeltaState, raw(Next.m_State));
+  append(Fields, Mask, !sameVersions(Next.m_Versions, Base.m_Versions), DeltaVersions,
+         wire::toItems(Next.m_Versions));
+  appendHints(Fields, Mask, Base.m_Hints, Next.m_Hints);
+  append(Fields, Mask, Next.m_Avoid != Base.m_Avoid, DeltaAvoid, wire::toItems(Next.m_Avoid));
+  append(Fields, Mask, Next.m_Known != Base.m_Known, DeltaKnown, wire::toItems(Next.m_Known));
+  Json Out = wire::startMessage(MessageType::HeartbeatDelta);
+  Out.push_back(difference(Next.m_Sequence, Base.m_Sequence));
+  if (Mask != 0) {
+    Out.push_back(Mask);
+    Out.insert(Out.end(), Fields.begin(), Fields.end());
+  }
+  return wire::toBytes(Out);
+}
+
+std::vector<std::uint8_t> encodeDelta(const HeartbeatAck &Base, const HeartbeatAck &Next) {
+  Json Out = wire::startMessage(MessageType::HeartbeatAckDelta);
+  Out.push_back(difference(Next.m_Sequence, Base.m_Sequence));
+  return wire::toBytes(Out);
+}
+
+void applyHintChanges(FieldReader &From, std::vector<ServiceHint> &Hints) {
+  const auto Numbers = From.values<std::uint32_t>(
+      "hint_changes", [](FieldReader &Entry) { return Entry.number<std::uint32_t>("number"); });
+  if (!From.good()) {
+    return;
+  }
+  if (Numbers.size() % NumbersPerHintChange != 0) {
+    From.fail("hint_changes", "expected three numbers for each change");
+    return;
+  }
+  for (std::size_t Index = 0; Index < Numbers.size(); Index += NumbersPerHintChange) {
+    if (Numbers[Index] >= Hints.size()) {
+      From.fail("hint_changes", "position is beyond the list of hints");
+      return;
+    }
+    ServiceHint &Hint = Hints[Numbers[Index]];
+    Hint.m_IdleSlots = Numbers[Index + 1];
+    Hint.m_Queued = Numbers[Index + 2];
+  }
+}
+
+void applyFields(FieldReader &From, std::uint32_t Mask, Heartbeat &Value) {
+  if ((Mask & DeltaState) != 0) {
+    Value.m_State = From.enumeration("state", VmState::Leaving);
+  }
+  if ((Mask & DeltaVersions) != 0) {
+    Value.m_Versions = wire::readVersions(From);
+  }
+  if ((Mask & DeltaHints) != 0) {
+    Value.m_Hints = wire::readHints(From);
+  }
+  if ((Mask & DeltaHintChanges) != 0) {
+    applyHintChanges(From, Value.m_Hints);
+  }
+  if ((Mask & DeltaAvoid) != 0) {
+    Value.m_Avoid = wire::readAvoid(From);
+  }
+  if ((Mask & DeltaKnown) != 0) {
+    Value.m_Known = wire::readTexts(From, "known");
+  }
+}
+
+Result<DecodedMessage> applyHeartbeat(const wire::ParsedFrame &Parsed,
+                                      std::optional<Heartbeat> &Base) {
+  if (!Base) {
+    return wire::malformed("field HeartbeatDelta: no heartbeat came before it");
+  }
+  std::string Failure;
+  FieldReader Fields(Parsed.m_Items, wire::FirstField, wire::Place{.m_Message = "HeartbeatDelta"},
+                     Failure);
+  Heartbeat Value = *Base;
+  Value.m_Sequence += static_cast<std::uint64_t>(Fields.integer("sequence"));
+  const std::uint32_t Mask = Fields.more() ? Fields.number<std::uint32_t>("mask", DeltaAll) : 0;
+  applyFields(Fields, Mask, Value);
+  if (!Failure.empty()) {
+    return wire::malformed(std::move(Failure));
+  }
+  Base = Value;
+  return DecodedMessage{.m_Message = std::move(Value), .m_Type = Parsed.m_Type};
+}
+
+Result<DecodedMessage> applyAck(const wire::ParsedFrame &Parsed,
+                                std::optional<HeartbeatAck> &Base) {
+  if (!Base) {
+    return wire::malformed("field HeartbeatAckDelta: no acknowledgement came before it");
+  }
+  std::string Failure;
+  FieldReader Fields(Parsed.m_Items, wire::FirstField,
+                     wire::Place{.m_Message = "HeartbeatAckDelta"}, Failure);
+  const auto Step = static_cast<std::uint64_t>(Fields.integer("sequence"));
+  if (!Failure.empty()) {
+    return wire::malformed(std::move(Failure));
+  }
+  Base->m_Sequence += Step;
+  return DecodedMessage{.m_Message = *Base, .m_Type = Parsed.m_Type};
+}
+
+/// Keeps a message that later differences refer to.
+template <typename T> void remember(const Message &Value, std::optional<T> &Base) {
+  if (const T *Found = std::get_if<T>(&Value)) {
+    Base = *Found;
+  }
+}
+
+} // namespace
+
+std::vector<std::uint8_t> DeltaEncoder::encode(const Message &Value) {
+  std::vector<std::uint8_t> Out;
+  const auto *Beat = std::get_if<Heartbeat>(&Value);
+  const auto *Ack = std::get_if<HeartbeatAck>(&Value);
+  if (Beat != nullptr && m_Heartbeat && m_Heartbeat->m_Incarnation == Beat->m_Incarnation) {
+    Out = encodeDelta(*m_Heartbeat, *Beat);
+  } else if (Ack != nullptr && m_Ack && m_Ack->m_Incarnation == Ack->m_Incarnation) {
+    Out = encodeDelta(*m_Ack, *Ack);
+  } else {
+    Out = peer::encode(Value);
+  }
+  remember(Value, m_Heartbeat);
+  remember(Value, m_Ack);
+  return Out;
+}
+
+Result<DecodedMessage> DeltaDecoder::decode(std::span<const std::uint8_t> Frame) {
+  const Result<wire::ParsedFrame> Parsed = wire::parseFrame(Frame);
+  if (!Parsed) {
+    return Parsed.error();
+  }
+  if (Parsed->m_Type == static_cast<std::uint64_t>(MessageType::HeartbeatDelta)) {
+    return applyHeartbeat(*Parsed, m_Heartbeat);
+  }
+  if (Parsed->m_Type == static_cast<std::uint64_t>(MessageType::HeartbeatAckDelta)) {
+    return applyAck(*Parsed, m_Ack);
+  }
+  Result<DecodedMessage> Out = wire::decodeParsed(*Parsed);
+  if (Out && Out->m_Message) {
+    remember(*Out->m_Message, m_Heartbeat);
+    remember(*Out->m_Message, m_Ack);
+  }
+  return Out;
+}
+
+} // namespace vanillahill::peer
