--- a/include/vanillahill/kernel/dispatcher.hpp
+++ b/include/vanillahill/kernel/dispatcher.hpp
@@ -77,17 +77,6 @@
     serve(Now, Out);
   }
 
-  void refuseWaiting(Reason Why, TimePoint Now, Actions &Out) override {
-    for (const RequestId Request : m_Queue.requests()) {
-      RequestState &State = *m_Requests.find(Request);
-      if (!m_Kinds[State.m_Kind].m_Settings.m_Idempotent) {
-        m_Queue.remove(Request);
-        answer(State, outcomeWithout(State), Why, Out);
-      }
-    }
-    serve(Now, Out);
-  }
-
   void attemptEnded(const AttemptEnded &Ended, TimePoint Now, Actions &Out) override {
     const std::optional<AttemptState> Attempt = m_Requests.removeAttempt(Ended.m_Attempt);
     if (!Attempt) {
@@ -289,6 +278,11 @@
       return false;
     }
     State.m_Waiting = false;
+    if (const Reason Why = gate(State, Now); Why != Reason::None) {
+      giveBack(*Chosen, Now);
+      answer(State, outcomeWithout(State), Why, Out);
+      return true;
+    }
     if (State.m_Tried.empty()) {
       m_Retry.firstAttempt();
     }
@@ -296,6 +290,19 @@
     return true;
   }
 
+  Reason gate(const RequestState &State, TimePoint Now) {
+    if (isIdempotent(State) || m_Context.m_Gate == nullptr) {
+      return Reason::None;
+    }
+    return m_Context.m_Gate->mayDispatch(State.m_Id, Now);
+  }
+
+  void giveBack(const Pick &Chosen, TimePoint Now) {
+    if (Chosen.m_Slot) {
+      m_Slots.release(*Chosen.m_Slot, demand(Now));
+    }
+  }
+
   bool isIdempotent(const RequestState &State) const {
     return m_Kinds[State.m_Kind].m_Settings.m_Idempotent;
   }
@@ -584,9 +591,7 @@
       return;
     }
     if (!m_Retry.takeHedge()) {
-      if (Chosen->m_Slot) {
-        m_Slots.release(*Chosen->m_Slot, demand(Now));
-      }
+      giveBack(*Chosen, Now);
       return;
     }
     ++m_Counters[State.m_Kind].m_Retries[static_cast<std::size_t>(RetryReason::Hedge)];
@@ -636,7 +641,9 @@
   std::uint32_t m_Overflowing = 0;
   std::optional<Duration> m_ProbeSpacing;
   TimePoint m_LastServe{};
+  /// Scratch space of collect().
   std::vector<ServerIndex> m_Candidates;
+  /// Given up by the queue and not yet answered; empty between events.
   std::vector<Dropped> m_Drops;
 };
 
--- a/include/vanillahill/kernel/dispatcher_base.hpp
+++ b/include/vanillahill/kernel/dispatcher_base.hpp
@@ -14,9 +14,22 @@
 
 namespace vanillahill::kernel {
 
+/// Asked immediately before each dispatch of a request that must not run twice.
+class DispatchGate {
+public:
+  DispatchGate() = default;
+  DispatchGate(const DispatchGate &) = delete;
+  DispatchGate &operator=(const DispatchGate &) = delete;
+  virtual ~DispatchGate() = default;
+
+  /// \return Reason::None when the request may go; else why it is refused as not run
+  virtual Reason mayDispatch(RequestId Request, TimePoint Now) = 0;
+};
+
 /// What all dispatchers of a node share. Outlives them; used under the node's lock.
 struct DispatcherContext {
   VmId m_Self{};
+  DispatchGate *m_Gate = nullptr;
   std::mt19937_64 m_Random;
   std::uint64_t m_NextAttempt = 1;
 };
@@ -40,8 +53,6 @@
                       Actions &Out) = 0;
   /// \brief The caller is gone: what can be given up is given up.
   virtual void callerGone(RequestId Request, TimePoint Now, Actions &Out) = 0;
-  /// \brief Refuses the waiting non-idempotent requests.
-  virtual void refuseWaiting(Reason Why, TimePoint Now, Actions &Out) = 0;
   virtual void attemptEnded(const AttemptEnded &Ended, TimePoint Now, Actions &Out) = 0;
   virtual void probeEnded(const ProbeEnded &Ended, TimePoint Now, Actions &Out) = 0;
   /// \brief Takes a slot message of a peer.
--- a/include/vanillahill/kernel/status.hpp
+++ b/include/vanillahill/kernel/status.hpp
@@ -31,6 +31,19 @@
   std::array<std::uint64_t, ReasonCount> m_NotRun{};
   std::array<std::uint64_t, ReasonCount> m_Unknown{};
   std::array<std::uint64_t, RetryReasonCount> m_Retries{};
+
+  /// \brief Adds the counts of another one for the same kind.
+  void add(const KindCounters &Other) {
+    m_Arrived += Other.m_Arrived;
+    m_Completed += Other.m_Completed;
+    for (std::size_t Index = 0; Index < ReasonCount; ++Index) {
+      m_NotRun[Index] += Other.m_NotRun[Index];
+      m_Unknown[Index] += Other.m_Unknown[Index];
+    }
+    for (std::size_t Index = 0; Index < RetryReasonCount; ++Index) {
+      m_Retries[Index] += Other.m_Retries[Index];
+    }
+  }
 };
 
 /// What is known of one backend server.
--- a/include/vanillahill/peer/message.hpp
+++ b/include/vanillahill/peer/message.hpp
@@ -49,10 +49,10 @@
   std::vector<ServiceHint> m_Hints;
   /// Backend servers that this VM found failing.
   std::vector<ServerId> m_Avoid;
-  /// Backend servers that told this VM that they are leaving.
-  std::vector<ServerId> m_Leaving;
   /// Peers that this VM knows: a newcomer learns of them.
   std::vector<std::string> m_Known;
+  /// Backend servers that told this VM that they are leaving.
+  std::vector<ServerId> m_Leaving;
 };
 
 struct HeartbeatAck {
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -45,6 +45,7 @@
     Out.push_back(wire::toItems(Value.m_Hints));
     Out.push_back(wire::toItems(Value.m_Avoid));
     Out.push_back(wire::toItems(Value.m_Known));
+    Out.push_back(wire::toItems(Value.m_Leaving));
     return Out;
   }
   Json operator()(const HeartbeatAck &Value) const {
@@ -100,8 +101,9 @@
   Out.m_State = From.enumeration("state", VmState::Leaving);
   Out.m_Versions = wire::readVersions(From);
   Out.m_Hints = wire::readHints(From);
-  Out.m_Avoid = wire::readAvoid(From);
+  Out.m_Avoid = wire::readServers(From, "avoid");
   Out.m_Known = wire::readTexts(From, "known");
+  Out.m_Leaving = wire::readServers(From, "leaving");
   return Out;
 }
 
--- a/src/peer/delta.cpp
+++ b/src/peer/delta.cpp
@@ -21,7 +21,8 @@
   DeltaHintChanges = 1U << 3U,
   DeltaAvoid = 1U << 4U,
   DeltaKnown = 1U << 5U,
-  DeltaAll = (1U << 6U) - 1,
+  DeltaLeaving = 1U << 6U,
+  DeltaAll = (1U << 7U) - 1,
 };
 
 constexpr std::size_t NumbersPerHintChange = 3;
@@ -81,6 +82,8 @@
   appendHints(Fields, Mask, Base.m_Hints, Next.m_Hints);
   append(Fields, Mask, Next.m_Avoid != Base.m_Avoid, DeltaAvoid, wire::toItems(Next.m_Avoid));
   append(Fields, Mask, Next.m_Known != Base.m_Known, DeltaKnown, wire::toItems(Next.m_Known));
+  append(Fields, Mask, Next.m_Leaving != Base.m_Leaving, DeltaLeaving,
+         wire::toItems(Next.m_Leaving));
   Json Out = wire::startMessage(MessageType::HeartbeatDelta);
   Out.push_back(difference(Next.m_Sequence, Base.m_Sequence));
   if (Mask != 0) {
@@ -131,11 +134,14 @@
     applyHintChanges(From, Value.m_Hints);
   }
   if ((Mask & DeltaAvoid) != 0) {
-    Value.m_Avoid = wire::readAvoid(From);
+    Value.m_Avoid = wire::readServers(From, "avoid");
   }
   if ((Mask & DeltaKnown) != 0) {
     Value.m_Known = wire::readTexts(From, "known");
   }
+  if ((Mask & DeltaLeaving) != 0) {
+    Value.m_Leaving = wire::readServers(From, "leaving");
+  }
 }
 
 Result<DecodedMessage> applyHeartbeat(const wire::ParsedFrame &Parsed,
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -184,8 +184,8 @@
   });
 }
 
-std::vector<ServerId> readAvoid(FieldReader &From) {
-  return From.values<ServerId>("avoid",
+std::vector<ServerId> readServers(FieldReader &From, std::string_view Field) {
+  return From.values<ServerId>(Field,
                                [](FieldReader &Entry) { return Entry.id<ServerId>("server"); });
 }
 
--- a/src/peer/wire.hpp
+++ b/src/peer/wire.hpp
@@ -141,7 +141,7 @@
 
 std::vector<FileVersion> readVersions(FieldReader &From);
 std::vector<ServiceHint> readHints(FieldReader &From);
-std::vector<ServerId> readAvoid(FieldReader &From);
+std::vector<ServerId> readServers(FieldReader &From, std::string_view Field);
 std::vector<std::string> readTexts(FieldReader &From, std::string_view Field);
 
 } // namespace vanillahill::peer::wire
--- a/tests/peer_messages.hpp
+++ b/tests/peer_messages.hpp
@@ -39,7 +39,7 @@
 
   void operator()(const Heartbeat &V) {
     put(V.m_Incarnation), put(V.m_Sequence), put(V.m_State), put(V.m_Versions);
-    put(V.m_Hints), put(V.m_Avoid), put(V.m_Known);
+    put(V.m_Hints), put(V.m_Avoid), put(V.m_Known), put(V.m_Leaving);
   }
   void operator()(const HeartbeatAck &V) { put(V.m_Incarnation), put(V.m_Sequence); }
   void operator()(const SlotRequest &V) { put(V.m_Service), put(V.m_Count); }
@@ -84,6 +84,9 @@
   case 4:
     Value.m_Avoid = Other.m_Avoid;
     break;
+  case 5:
+    Value.m_Leaving = Other.m_Leaving;
+    break;
   default:
     Value.m_Known = Other.m_Known;
   }
@@ -159,7 +162,7 @@
     using T = vhp::Heartbeat;
     return gen::build<T>(gen::set(&T::m_Incarnation), gen::set(&T::m_Sequence),
                          gen::set(&T::m_State), gen::set(&T::m_Versions), gen::set(&T::m_Hints),
-                         gen::set(&T::m_Avoid), gen::set(&T::m_Known));
+                         gen::set(&T::m_Avoid), gen::set(&T::m_Known), gen::set(&T::m_Leaving));
   }
 };
 template <> struct Arbitrary<vhp::Message> {
