Configuration: records, replay rule, log follower and replica

Cause: every VM must give each log record the same verdict, also when it starts reading in the middle of the log, was cut off, or learned the state from a peer. Change: the state of a VM is always the replay of a whole prefix of the log. A VM renews the current versions as one checkpoint (all files, as of an offset) before they age out; peers pass the same checkpoint. A VM that missed records holds what follows the gap until a checkpoint as of a later offset bridges it. Ruled out: one renewal a file, as a newcomer cannot judge a base change without every overlay as of the same offset; passing single records between VMs, as their verdict depends on the records before them. JSON nested deeper than 32 levels is refused, as writing it back is recursive.

--- a/src/settings/json_text.cpp
+++ b/src/settings/json_text.cpp
@@ -63,12 +63,22 @@
 
 std::optional<Json> parseJson(std::string_view Text, const std::string &File, Problems &Found) {
   DuplicateFinder Finder(File, Found);
-  const auto Callback = [&Finder](int, Json::parse_event_t Event, Json &Value) {
-    Finder(Event, Value);
-    return true;
+  bool TooDeep = false;
+  const auto Callback = [&](int Depth, Json::parse_event_t Event, Json &Value) {
+    TooDeep = TooDeep || Depth > MaxJsonDepth;
+    if (!TooDeep) {
+      Finder(Event, Value);
+    }
+    return !TooDeep;
   };
   try {
-    return Json::parse(Text, Callback);
+    Json Document = Json::parse(Text, Callback);
+    if (!TooDeep) {
+      return Document;
+    }
+    Found.push_back({Errc::SettingsOutOfRange, File, "", "deeper nesting",
+                     "at most " + std::to_string(MaxJsonDepth) + " levels"});
+    return std::nullopt;
   } catch (const Json::exception &Raised) {
     Found.push_back({Errc::SettingsNotJson, File, "", Raised.what(), "one JSON document"});
     return std::nullopt;
--- /dev/null
+++ b/tests/unit-config-replay.cpp
@@ -0,0 +1,347 @@
+#include "config_content.hpp"
+
+#include "vanillahill/platform/log_store.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace vanillahill::config {
+namespace {
+
+/// The naive rule: the highest version seen counts, from the log or from a peer; no check.
+class NaiveReplica {
+public:
+  explicit NaiveReplica(ReplicaOptions) {}
+
+  void onLogRead(const kernel::LogRead &Read, TimePoint, kernel::Actions &) {
+    for (const kernel::LogRecord &Each : Read.m_Records) {
+      take(Each.m_Data);
+    }
+    m_Position = std::max(m_Position, Read.m_Next);
+  }
+  void onPeerRecords(std::span<const std::string> Records, TimePoint, kernel::Actions &) {
+    for (const std::string &Each : Records) {
+      take(Each);
+    }
+  }
+  void tick(TimePoint, kernel::Actions &Out) {
+    if (!m_Files.empty()) {
+      Out.emplace_back(kernel::AppendLog{.m_Data = recordsInForce().front()});
+    }
+  }
+  TimePoint nextTimer() const { return {}; }
+  bool hasGap() const { return false; }
+  std::uint64_t position() const { return m_Position; }
+  std::vector<std::string> recordsInForce() const {
+    Checkpoint State{.m_AsOf = m_Position, .m_Files = {}};
+    for (const auto &[File, Each] : m_Files) {
+      State.m_Files.push_back({.m_Change = Each, .m_Recent = {}});
+    }
+    return {encode(State)};
+  }
+
+private:
+  void take(const std::string &Text) {
+    const Record Next = decode(Text).value();
+    if (const auto *Written = std::get_if<Change>(&Next)) {
+      keepNewer(*Written);
+      return;
+    }
+    for (const FileState &Each : std::get<Checkpoint>(Next).m_Files) {
+      keepNewer(Each.m_Change);
+    }
+  }
+  void keepNewer(const Change &Next) {
+    Change &Current = m_Files[Next.m_File];
+    if (Next.m_Version > Current.m_Version) {
+      Current = Next;
+    }
+  }
+  std::map<std::string, Change> m_Files;
+  std::uint64_t m_Position = 0;
+};
+
+/// The rule written a second time, for contents of config_content.hpp.
+struct Model {
+  HeldVersions m_Held;
+  std::map<std::string, std::uint32_t> m_Numbers;
+  std::map<std::string, std::vector<std::string>> m_Won;
+
+  void apply(const Change &Next, std::uint32_t Number) {
+    auto &Won = m_Won[Next.m_File];
+    const bool Repeated = std::find(Won.begin(), Won.end(), Next.m_ChangeId) != Won.end();
+    const auto Held = m_Held.find(Next.m_File);
+    const std::uint64_t Version = Held == m_Held.end() ? 0 : Held->second.m_Version;
+    if (Repeated || Next.m_BuildsOn != Version || !fits(Next.m_File, Number)) {
+      return;
+    }
+    m_Held[Next.m_File] = {Next.m_ChangeId, Next.m_Version};
+    m_Numbers[Next.m_File] = Number;
+    Won.push_back(Next.m_ChangeId);
+    if (Won.size() > RecentChanges) {
+      Won.erase(Won.begin());
+    }
+  }
+  bool fits(const std::string &File, std::uint32_t Number) const {
+    if (File != BaseFile) {
+      return m_Numbers.contains("base") && Number >= m_Numbers.at("base");
+    }
+    return std::all_of(m_Numbers.begin(), m_Numbers.end(), [&](const auto &Each) {
+      return Each.first == BaseFile || Each.second >= Number;
+    });
+  }
+};
+
+/// A log, operators and VMs. Each number given to step() decides one step.
+template <typename ReplicaT> class World {
+public:
+  World() {
+    for (std::size_t Vm = 0; Vm < VmCount; ++Vm) {
+      replace(Vm);
+    }
+    m_Models.emplace_back();
+  }
+
+  /// \return what is wrong afterwards, if anything
+  std::optional<std::string> step(std::uint32_t Number) {
+    const std::uint32_t Kind = Number % 16;
+    const std::uint32_t Argument = Number / 16;
+    const std::size_t Vm = Argument % VmCount;
+    if (Kind < 4) {
+      publish(Argument);
+    } else if (Kind < 5) {
+      appendAgain(Argument);
+    } else if (Kind < 10) {
+      readLog(Vm, Argument / VmCount % 8);
+    } else if (Kind < 12) {
+      appendCheckpoint(Vm, Argument / VmCount % 2 == 0);
+    } else if (Kind < 13) {
+      m_Log.dropBefore(Argument % (m_Log.next() + 1));
+    } else if (Kind < 15) {
+      const std::vector<std::string> Records =
+          m_Vms[Argument / VmCount % VmCount]->recordsInForce();
+      m_Vms[Vm]->onPeerRecords(Records, m_Clock.now(), m_Ignored);
+    } else {
+      replace(Vm);
+    }
+    return findFault();
+  }
+
+  /// Every VM reads all; those without a gap must hold what the whole log says.
+  std::optional<std::string> finish() {
+    for (std::size_t Vm = 0; Vm < VmCount; ++Vm) {
+      readLog(Vm, 1'000'000);
+    }
+    return findFault();
+  }
+
+  std::size_t won() const {
+    std::size_t Sum = 0;
+    for (const auto &[File, Held] : m_Models.back().m_Held) {
+      Sum += Held.m_Version;
+    }
+    return Sum;
+  }
+
+private:
+  static constexpr std::size_t VmCount = 4;
+
+  void replace(std::size_t Vm) {
+    m_Vms[Vm] = std::make_unique<ReplicaT>(ReplicaOptions{.m_Site = "khomas", .m_Seed = ++m_Seed});
+    m_Cursors[Vm] = 0;
+    m_Before[Vm].clear();
+  }
+
+  void publish(std::uint32_t Argument) {
+    static constexpr std::array<const char *, 3> Files = {"base", "overlay/khomas",
+                                                          "overlay/zagreb"};
+    const std::string File = Files.at(Argument % Files.size());
+    const std::uint32_t Number = 1 + Argument / 3 % 6;
+    const std::uint64_t Stale = Argument / 18 % 4 == 0 ? 1 : 0;
+    const auto Held = m_Models.back().m_Held.find(File);
+    const std::uint64_t Current = Held == m_Models.back().m_Held.end() ? 0 : Held->second.m_Version;
+    const std::uint64_t BuildsOn = Current - std::min(Current, Stale);
+    const std::string Content = File == "base" ? baseContent(Number) : overlayContent(Number);
+    const bool OldId = Argument / 72 % 8 == 0 && !m_Written.empty();
+    const std::string Id = OldId ? m_Written[Argument % m_Written.size()].first.m_ChangeId
+                                 : "c" + std::to_string(m_Written.size());
+    m_Written.emplace_back(change(File, BuildsOn, Id, Content), Number);
+    append(m_Written.back());
+  }
+
+  void appendAgain(std::uint32_t Argument) {
+    if (!m_Written.empty()) {
+      append(m_Written[Argument % m_Written.size()]);
+    }
+  }
+
+  void append(const std::pair<Change, std::uint32_t> &Written) {
+    m_Log.append(encode(Written.first), m_Clock.now());
+    m_Models.push_back(m_Models.back());
+    m_Models.back().apply(Written.first, Written.second);
+  }
+
+  void appendCheckpoint(std::size_t Vm, bool Late) {
+    kernel::Actions Out;
+    if (m_Vms[Vm]->nextTimer() != TimePoint::max()) {
+      m_Clock.advance(std::max(Duration::zero(), m_Vms[Vm]->nextTimer() - m_Clock.now()));
+      m_Vms[Vm]->tick(m_Clock.now(), Out);
+    }
+    for (const kernel::Action &Each : Out) {
+      m_InFlight.push_back(std::get<kernel::AppendLog>(Each).m_Data);
+    }
+    while (!Late && !m_InFlight.empty()) {
+      m_Log.append(m_InFlight.back(), m_Clock.now());
+      m_Models.push_back(m_Models.back());
+      m_InFlight.pop_back();
+    }
+  }
+
+  void readLog(std::size_t Vm, std::size_t MaxRecords) {
+    const platform::LogPage Page = m_Log.read(m_Cursors[Vm], m_Clock.now(), MaxRecords);
+    m_Cursors[Vm] = Page.m_Next;
+    m_Vms[Vm]->onLogRead(
+        {.m_First = Page.m_First, .m_Records = Page.m_Records, .m_Next = Page.m_Next},
+        m_Clock.now(), m_Ignored);
+  }
+
+  std::optional<std::string> findFault() {
+    for (std::size_t Vm = 0; Vm < VmCount; ++Vm) {
+      const HeldVersions Held = heldIn(m_Vms[Vm]->recordsInForce());
+      if (Held != m_Models.at(m_Vms[Vm]->position()).m_Held) {
+        return fmt::format("VM {} differs from the log before {}", Vm, m_Vms[Vm]->position());
+      }
+      for (const auto &[File, Before] : m_Before[Vm]) {
+        if (!Held.contains(File) || Held.at(File).m_Version < Before.m_Version) {
+          return fmt::format("VM {} went back in {}", Vm, File);
+        }
+      }
+      m_Before[Vm] = Held;
+    }
+    return std::nullopt;
+  }
+
+  PausedClock m_Clock;
+  platform::LogStore m_Log;
+  std::array<std::unique_ptr<ReplicaT>, VmCount> m_Vms;
+  std::array<std::uint64_t, VmCount> m_Cursors{};
+  std::array<HeldVersions, VmCount> m_Before;
+  std::vector<std::pair<Change, std::uint32_t>> m_Written;
+  std::vector<std::string> m_InFlight;
+  /// State of the model after the first n records of the log.
+  std::vector<Model> m_Models;
+  kernel::Actions m_Ignored;
+  std::uint64_t m_Seed = 0;
+};
+
+/// Runs random steps. \return the first fault
+template <typename ReplicaT> std::optional<std::string> runSteps(std::uint64_t Seed) {
+  constexpr int Steps = 150;
+  std::mt19937_64 Random(Seed);
+  World<ReplicaT> Deployment;
+  for (int Step = 0; Step < Steps; ++Step) {
+    if (auto Fault = Deployment.step(static_cast<std::uint32_t>(Random()))) {
+      return Fault;
+    }
+  }
+  return Deployment.finish();
+}
+
+RC_GTEST_PROP(ConfigReplay, EveryVmHoldsThePrefixThatItHasReadAndNeverGoesBack, ()) {
+  const auto Steps = *rc::gen::container<std::vector<std::uint32_t>>(
+      120, rc::gen::inRange<std::uint32_t>(0, 1U << 20U));
+  World<Replica> Deployment;
+  for (const std::uint32_t Step : Steps) {
+    const auto Fault = Deployment.step(Step);
+    RC_ASSERT(Fault.value_or("") == "");
+  }
+  RC_CLASSIFY(Deployment.won() >= 5, "at least 5 versions won");
+  const auto Fault = Deployment.finish();
+  RC_ASSERT(Fault.value_or("") == "");
+}
+
+TEST(ConfigReplay, TheNaiveRuleBreaksWhereThisOneHolds) {
+  constexpr std::uint64_t Seeds = 300;
+  std::uint64_t NaiveFaults = 0;
+  for (std::uint64_t Seed = 0; Seed < Seeds; ++Seed) {
+    NaiveFaults += runSteps<NaiveReplica>(Seed).has_value() ? 1 : 0;
+    const auto Fault = runSteps<Replica>(Seed);
+    ASSERT_FALSE(Fault) << *Fault << ", seed " << Seed;
+  }
+  EXPECT_GT(NaiveFaults, Seeds / 2);
+}
+
+kernel::LogRead readOf(std::uint64_t First, const std::vector<std::string> &Texts) {
+  kernel::LogRead Read{.m_First = First, .m_Records = {}, .m_Next = First + Texts.size()};
+  for (const std::string &Text : Texts) {
+    Read.m_Records.push_back({First + Read.m_Records.size(), Text});
+  }
+  return Read;
+}
+
+TEST(ConfigReplay, ANewcomerWaitsForACheckpointBehindTheGap) {
+  const std::string Late = encode(change("base", 6, "c7", baseContent(2)));
+  LogFollower Newcomer;
+  Newcomer.read(readOf(40, {Late}));
+  EXPECT_TRUE(Newcomer.hasGap());
+  EXPECT_EQ(Newcomer.state().versionOf("base"), 0U);
+  Checkpoint State{.m_AsOf = 39, .m_Files = {}};
+  State.m_Files.push_back({change("base", 5, "c6", baseContent(3)), {{"c6", 6}}});
+  const std::string TooOld = encode(State);
+  State.m_AsOf = 40;
+  const std::string InTime = encode(State);
+  Newcomer.read(readOf(41, {TooOld}));
+  EXPECT_TRUE(Newcomer.hasGap());
+  Newcomer.read(readOf(42, {InTime}));
+  EXPECT_FALSE(Newcomer.hasGap());
+  EXPECT_EQ(Newcomer.state().versionOf("base"), 7U);
+  EXPECT_EQ(Newcomer.position(), 43U);
+}
+
+TEST(ConfigReplay, ABaseMayNotBreakAnOverlayInForce) {
+  Replay State;
+  EXPECT_EQ(State.apply(change("overlay/khomas", 0, "c0", overlayContent(4))).m_Verdict,
+            Verdict::Invalid);
+  EXPECT_EQ(State.apply(change("base", 0, "c1", baseContent(4))).m_Verdict, Verdict::Won);
+  EXPECT_EQ(State.apply(change("overlay/khomas", 0, "c2", overlayContent(4))).m_Verdict,
+            Verdict::Won);
+  const Outcome Broken = State.apply(change("base", 1, "c3", baseContent(5)));
+  EXPECT_EQ(Broken.m_Verdict, Verdict::Invalid);
+  ASSERT_EQ(Broken.m_Problems.size(), 1U);
+  EXPECT_EQ(Broken.m_Problems.front().m_File, "overlay/khomas");
+  EXPECT_EQ(State.apply(change("overlay/khomas", 1, "c4", "null")).m_Verdict, Verdict::Won);
+  EXPECT_EQ(State.apply(change("base", 1, "c5", baseContent(5))).m_Verdict, Verdict::Won);
+  EXPECT_EQ(State.settingsOf("khomas").m_Settings, nullptr);
+}
+
+TEST(ConfigReplay, BrokenRecordsAreCountedAndChangeNothing) {
+  const std::string Good = encode(change("base", 0, "c1", baseContent(2)));
+  std::string Flipped = Good;
+  Flipped[Flipped.find("300")] = '4';
+  EXPECT_EQ(decode(Flipped).error().m_Code, Errc::RecordDigestMismatch);
+  Checkpoint Future{.m_AsOf = 99, .m_Files = {}};
+  LogFollower Follower;
+  const std::vector<std::string> Texts = {
+      "",  "{", "[]", "null", "{\"digest\":1}", Flipped, std::string(100'000, '['), encode(Future),
+      Good};
+  EXPECT_EQ(Follower.read(readOf(0, Texts)).m_Malformed, Texts.size() - 1);
+  EXPECT_EQ(Follower.state().versionOf("base"), 1U);
+  Checkpoint Older{.m_AsOf = 1000, .m_Files = {}};
+  Follower.adopt(Older);
+  EXPECT_EQ(Follower.state().versionOf("base"), 1U);
+}
+
+RC_GTEST_PROP(ConfigReplay, ARecordSurvivesItsText, (std::string Noise)) {
+  const Change Written = change("base", 3, "c4", R"({"a":[1,2.5,"x"]})");
+  RC_ASSERT(std::get<Change>(decode(encode(Written)).value()) == Written);
+  RC_ASSERT(!decode(Noise).has_value());
+  std::string Cut = encode(Written);
+  Cut.resize(*rc::gen::inRange<std::size_t>(0, Cut.size()));
+  RC_ASSERT(!decode(Cut).has_value());
+}
+
+} // namespace
+} // namespace vanillahill::config
--- a/tests/unit-settings.cpp
+++ b/tests/unit-settings.cpp
@@ -211,6 +211,9 @@
     EXPECT_FALSE(checkSite(Text, OverlayText, options()).m_Problems.empty()) << Text;
     EXPECT_FALSE(checkSite(BaseText, Text, options()).m_Problems.empty()) << Text;
   }
+  constexpr std::size_t Deep = 1'000'000;
+  const std::string Nested = std::string(Deep, '[') + std::string(Deep, ']');
+  EXPECT_EQ(checkBase(Nested, options()).front().m_Allowed, "at most 32 levels");
   const Result<VmSettings> Missing = loadVmSettings("no-such-file.json");
   ASSERT_FALSE(Missing.has_value());
   EXPECT_EQ(Missing.error().m_Code, Errc::SettingsUnreadable);
