--- a/include/vanillahill/membership/members.hpp
+++ b/include/vanillahill/membership/members.hpp
@@ -74,8 +74,8 @@
   void onAck(VmId From, const peer::HeartbeatAck &Ack, TimePoint Now);
 
   /// \brief Sends the heartbeats that are due and drops VMs that are gone.
-  /// \param Payload versions, hints and servers to avoid; the rest is filled in here. An empty
-  /// m_Versions or m_Known of a heartbeat that was sent means "as before".
+  /// \param Payload versions, hints and servers to avoid; the rest is filled in here. The
+  /// link sends only what changed since the heartbeat before.
   void tick(TimePoint Now, kernel::Actions &Out, const peer::Heartbeat &Payload);
 
   /// \brief When tick() is wanted next.
@@ -130,7 +130,6 @@
     std::optional<TimePoint> m_AckGivenAt;
     TimePoint m_NextSend{};
     std::uint32_t m_Sent = 0;
-    std::uint64_t m_SentDigest = 0;
     std::vector<peer::FileVersion> m_Versions;
   };
 
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -12,8 +12,6 @@
 constexpr Duration PeriodPerVm = 10ms;
 /// The period of acknowledgements grows by this much with each VM.
 constexpr Duration AckPeriodPerVm = 50ms;
-/// Parts of a heartbeat that rarely change are repeated once in so many heartbeats.
-constexpr std::uint32_t FullEvery = 8;
 /// A VM counts as alive for so many heartbeat periods, and at least for the lease.
 constexpr int AlivePeriods = 3;
 
@@ -22,20 +20,6 @@
   return (Digest ^ Value) * Prime;
 }
 
-/// Digest of the parts that are sent only when they change.
-std::uint64_t digestOf(const std::vector<std::string> &Names,
-                       const std::vector<peer::FileVersion> &Versions) {
-  std::uint64_t Digest = 1;
-  for (const std::string &Name : Names) {
-    Digest = mix(Digest, raw(idOf<VmId>(Name)));
-  }
-  for (const peer::FileVersion &Version : Versions) {
-    Digest = mix(Digest, raw(idOf<VmId>(Version.m_File)));
-    Digest = mix(Digest, Version.m_Version);
-  }
-  return Digest;
-}
-
 } // namespace
 
 Members::Members(MembersOptions Options)
@@ -148,9 +132,7 @@
   if (Value.m_State != peer::VmState::Leaving) {
     Value.m_State = Beat.m_State;
   }
-  if (!Beat.m_Versions.empty()) {
-    Value.m_Versions = Beat.m_Versions;
-  }
+  Value.m_Versions = Beat.m_Versions;
   learnNames(Beat.m_Known, Now);
   const bool AckDue = !Value.m_AckGivenAt || *Value.m_AckGivenAt + ackPeriod() <= Now;
   if (AckDue || Beat.m_State == peer::VmState::Starting) {
@@ -308,13 +290,7 @@
   Beat.m_Hints = Payload.m_Hints;
   Beat.m_Avoid = Payload.m_Avoid;
   Beat.m_Known = heardNames(Now);
-  const std::uint64_t Digest = digestOf(Beat.m_Known, Payload.m_Versions);
-  if (Digest != Value.m_SentDigest || Value.m_Sent % FullEvery == 0) {
-    Beat.m_Versions = Payload.m_Versions;
-    Value.m_SentDigest = Digest;
-  } else {
-    Beat.m_Known.clear();
-  }
+  Beat.m_Versions = Payload.m_Versions;
   ++Value.m_Sent;
   Out.emplace_back(kernel::SendPeer{To, std::move(Beat)});
 }
