Node: configuration replica joined, settings follow the log

Cause: the node took its settings only from its options. Change: Node owns config::Replica, feeds it reads of the log, peers' versions, pushes and pulls, and applies what comes into force. Not yet run with processes.

--- a/bench/bench-decision.cpp
+++ b/bench/bench-decision.cpp
@@ -52,12 +52,14 @@
     const std::string Name = "service" + std::to_string(Index);
     ServiceSettings Service{.m_Id = idOf<ServiceId>(Name), .m_Name = Name};
     Service.m_Policy.m_Name = Policy;
-    Service.m_Kinds.push_back(
-        {.m_Id = idOf<KindId>(Name + "/read"), .m_Name = "read", .m_Idempotent = true});
+    Service.m_Kinds.push_back({.m_Id = idOf<KindId>(std::string(Name).append("/read")),
+                               .m_Name = "read",
+                               .m_Idempotent = true});
     for (std::uint32_t Server = Index; Server < Servers; Server += Services) {
       const std::string ServerName = "s" + std::to_string(Server);
       Service.m_Servers.push_back(
-          {.m_Id = idOf<ServerId>(Name + "/" + ServerName), .m_Name = ServerName});
+          {.m_Id = idOf<ServerId>(std::string(Name).append("/").append(ServerName)),
+           .m_Name = ServerName});
     }
     Site->m_Services.push_back(Service);
   }
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -1,5 +1,6 @@
 #include "vanillahill/kernel/node.hpp"
 
+#include "vanillahill/config/replica.hpp"
 #include "vanillahill/idempotency/key_guard.hpp"
 #include "vanillahill/kernel/dispatcher_base.hpp"
 #include "vanillahill/membership/members.hpp"
@@ -57,7 +58,10 @@
       : m_Options(std::move(Given)), m_Members(membersOptions(m_Options)),
         m_Keys({.m_Settings = {},
                 .m_Incarnation = m_Options.m_Incarnation,
-                .m_Seed = m_Options.m_Seed}) {
+                .m_Seed = m_Options.m_Seed}),
+        m_Replica({.m_Site = m_Options.m_Site,
+                   .m_Seed = m_Options.m_Seed ^ raw(idOf<VmId>(m_Options.m_Name)),
+                   .m_Policies = m_Policies}) {
     m_Context.m_Self = idOf<VmId>(m_Options.m_Name);
     m_Context.m_Gate = this;
     m_Context.m_Random.seed(m_Options.m_Seed);
@@ -70,11 +74,12 @@
   /// Puts the settings in force that were given at the start.
   void begin(TimePoint Now, Actions &Out) {
     if (!m_Settings && m_Options.m_Settings) {
-      apply(m_Options.m_Settings, Now, Out);
+      Out.push_back(SettingsChanged{});
+      apply(m_Options.m_Settings, Now);
     }
   }
 
-  void apply(std::shared_ptr<const SiteSettings> Next, TimePoint Now, Actions &Out) {
+  void apply(std::shared_ptr<const SiteSettings> Next, TimePoint Now) {
     m_Settings = std::move(Next);
     m_Members.updateSettings(m_Settings->m_Membership);
     m_Keys.updateSettings(m_Settings->m_Idempotency);
@@ -88,12 +93,19 @@
     for (const ServiceSettings &Service : m_Settings->m_Services) {
       applyService(Service, Now);
     }
-    Out.push_back(SettingsChanged{});
     serveIfReady();
     m_Sharers.clear();
     shareSlots();
   }
 
+  /// Puts in force what the replica has come to.
+  void followReplica(TimePoint Now) {
+    const std::shared_ptr<const SiteSettings> Next = m_Replica.settings();
+    if (Next && Next != m_Settings && !m_Options.m_Settings) {
+      apply(Next, Now);
+    }
+  }
+
   void applyService(const ServiceSettings &Service, TimePoint Now) {
     const auto Found = m_Dispatchers.find(Service.m_Id);
     if (Found != m_Dispatchers.end()) {
@@ -225,11 +237,21 @@
            m_Keys.onAnswer(Input.m_From, *Known, m_Members.view(Now), Now, Out)) {
         run(Request, Now, Out);
       }
+    } else if (const auto *Push = std::get_if<peer::ConfigPush>(&Input.m_Message)) {
+      m_Replica.onPeerRecords(Push->m_Records, Now, Out);
+      followReplica(Now);
+    } else if (std::holds_alternative<peer::ConfigPull>(Input.m_Message)) {
+      m_Replica.onPull(Input.m_From, Out);
     }
   }
 
   void onHeartbeat(VmId From, const peer::Heartbeat &Beat, TimePoint Now, Actions &Out) {
     m_Members.onHeartbeat(From, Beat, Now, Out);
+    std::vector<peer::FileVersion> &Versions = m_PeerVersions[From];
+    if (!Beat.m_Versions.empty()) {
+      Versions = Beat.m_Versions;
+    }
+    m_Replica.onPeerVersions(From, Versions, Now, Out);
     for (const peer::ServiceHint &Hint : Beat.m_Hints) {
       if (DispatcherBase *Dispatcher = find(Hint.m_Service)) {
         Dispatcher->peerHint(From, Hint, Now);
@@ -252,7 +274,10 @@
     tick(Now, Out);
   }
 
-  void on(const LogRead & /*Input*/, TimePoint /*Now*/, Actions & /*Out*/) {}
+  void on(const LogRead &Input, TimePoint Now, Actions &Out) {
+    m_Replica.onLogRead(Input, Now, Out);
+    followReplica(Now);
+  }
 
   void on(const StopRequested & /*Input*/, TimePoint Now, Actions &Out) {
     if (!m_StopAt) {
@@ -265,6 +290,7 @@
   void on(const TimerFired & /*Input*/, TimePoint Now, Actions &Out) {
     tick(Now, Out);
     m_Keys.tick(Now, Out);
+    m_Replica.tick(Now, Out);
     for (auto &[Id, Dispatcher] : m_Dispatchers) {
       Dispatcher->tick(Now, Out);
     }
@@ -281,7 +307,7 @@
   }
 
   peer::Heartbeat heartbeat(TimePoint Now) const {
-    peer::Heartbeat Beat;
+    peer::Heartbeat Beat{.m_Versions = m_Replica.versions()};
     for (const auto &[Id, Dispatcher] : m_Dispatchers) {
       Beat.m_Hints.push_back(Dispatcher->hint());
       Dispatcher->appendMarks(Now, Beat.m_Avoid, Beat.m_Leaving);
@@ -344,7 +370,7 @@
   }
 
   TimePoint nextTimer() const {
-    TimePoint Next = std::min(m_Members.nextTimer(), m_Keys.nextTimer());
+    TimePoint Next = std::min({m_Members.nextTimer(), m_Keys.nextTimer(), m_Replica.nextTimer()});
     if (m_StopAt && m_Now < *m_StopAt) {
       Next = std::min(Next, *m_StopAt);
     }
@@ -358,6 +384,7 @@
     NodeStatus Status{.m_Name = m_Options.m_Name,
                       .m_State = m_Members.state(),
                       .m_HasLease = m_Members.hasLease(Now),
+                      .m_Versions = m_Replica.versions(),
                       .m_Members = m_Members.status(Now),
                       .m_Keys = m_Keys.size(),
                       .m_PeerMessagesSent = m_MessagesSent};
@@ -377,6 +404,10 @@
   DispatcherContext m_Context;
   membership::Members m_Members;
   idempotency::KeyGuard m_Keys;
+  const std::vector<std::string_view> m_Policies = policyNames();
+  config::Replica m_Replica;
+  /// What each VM last said of its versions.
+  std::map<VmId, std::vector<peer::FileVersion>> m_PeerVersions;
   std::shared_ptr<const SiteSettings> m_Settings;
   std::map<ServiceId, std::unique_ptr<DispatcherBase>> m_Dispatchers;
   std::unordered_map<RequestId, OpenRequest> m_Open;
--- a/tests/unit-peer-codec.cpp
+++ b/tests/unit-peer-codec.cpp
@@ -132,7 +132,7 @@
     DeltaDecoder Receiver;
     RC_ASSERT(Receiver.decode(Sender.encode(Value)).has_value());
     for (const Heartbeat &Other : Others) {
-      changeOneField(Value, Other, *rc::gen::inRange(0, 6));
+      changeOneField(Value, Other, *rc::gen::inRange(0, 7));
       const Result<DecodedMessage> Decoded = Receiver.decode(Sender.encode(Value));
       RC_ASSERT(Decoded.has_value());
       RC_ASSERT(describe(*Decoded->m_Message) == describe(Value));
