Kernel: cost of a decision no longer grows with services and peers

Cause: each event read the timers of all 93 dispatchers and each request for slots copied the list of peers. Change: dispatchers are ticked when due, from an ordered set that only changed ones update; peers are drawn without a copy; idle slots are counted in one pass; the bench now hears its peers. Ruled out: a timer wheel, since the set holds 93 entries.

--- a/bench/bench-decision.cpp
+++ b/bench/bench-decision.cpp
@@ -81,12 +81,26 @@
       : m_Site(makeSite(Servers, Policy)),
         m_Node({.m_Name = "e0", .m_Seed = 1, .m_Settings = m_Site}) {
     m_Node.handle(makeVms(Vms), m_Clock.now(), m_Out);
+    hearPeers(Vms);
+    hearPeers(Vms);
     m_Out.clear();
   }
 
+  /// Each peer serves, acknowledges the last heartbeat and has no idle slot.
+  void hearPeers(std::uint32_t Vms) {
+    ++m_Sequence;
+    m_Clock.advance(std::chrono::milliseconds(1));
+    for (std::uint32_t Index = 1; Index < Vms; ++Index) {
+      const VmId Peer = idOf<VmId>("e" + std::to_string(Index));
+      const peer::Heartbeat Beat{
+          .m_Incarnation = 1, .m_Sequence = m_Sequence, .m_State = peer::VmState::Serving};
+      m_Node.handle(PeerReceived{Peer, Beat}, m_Clock.now(), m_Out);
+    }
+  }
+
   void arrive() {
     const ServiceSettings &Service = m_Site->m_Services[m_Next % m_Site->m_Services.size()];
-    m_Clock.advance(std::chrono::microseconds(100));
+    m_Clock.advance(std::chrono::microseconds(1));
     m_Node.handle(RequestArrived{.m_Request = RequestId{++m_Next},
                                  .m_Service = Service.m_Id,
                                  .m_Kind = Service.m_Kinds.front().m_Id},
@@ -131,6 +145,7 @@
   std::deque<AttemptId> m_Running;
   ReplyPtr m_Reply = std::make_shared<Reply>();
   std::uint64_t m_Next = 0;
+  std::uint64_t m_Sequence = 0;
 };
 
 void decide(benchmark::State &State, const char *Policy) {
--- a/include/vanillahill/kernel/dispatcher.hpp
+++ b/include/vanillahill/kernel/dispatcher.hpp
@@ -332,8 +332,8 @@
   }
 
   std::optional<Pick> pickHeld(const RequestState &State, bool MayUseSuspect, TimePoint Now) {
-    collect(State, MayUseSuspect, Now,
-            [&](ServerIndex Index) { return m_Slots.idleAt(m_Servers, Index, Now) > 0; });
+    const std::span<const std::uint32_t> Idle = m_Slots.idleByServer(m_Servers, Now);
+    collect(State, MayUseSuspect, Now, [Idle](ServerIndex Index) { return Idle[Index] > 0; });
     if (m_Candidates.empty()) {
       return std::nullopt;
     }
--- a/include/vanillahill/kernel/policy/queue.hpp
+++ b/include/vanillahill/kernel/policy/queue.hpp
@@ -188,17 +188,17 @@
   }
 
   /// Kinds with the most weight for each second of a slot first.
-  std::vector<KindIndex> byDensity(std::span<const KindState> Kinds) const {
-    std::vector<KindIndex> Order;
+  std::span<const KindIndex> byDensity(std::span<const KindState> Kinds) {
+    m_Order.clear();
     for (KindIndex Kind = 0; Kind < m_ByKind.size(); ++Kind) {
       if (!m_ByKind[Kind].m_Items.empty()) {
-        Order.push_back(Kind);
+        m_Order.push_back(Kind);
       }
     }
-    std::sort(Order.begin(), Order.end(), [Kinds](KindIndex A, KindIndex B) {
+    std::sort(m_Order.begin(), m_Order.end(), [Kinds](KindIndex A, KindIndex B) {
       return Kinds[A].density() > Kinds[B].density();
     });
-    return Order;
+    return m_Order;
   }
 
   void dropLeast(std::span<const KindState> Kinds, std::vector<Dropped> &Drops) {
@@ -209,6 +209,8 @@
   }
 
   std::vector<KindQueue> m_ByKind;
+  /// Scratch space of byDensity().
+  std::vector<KindIndex> m_Order;
   std::size_t m_Size = 0;
 };
 
--- a/include/vanillahill/kernel/policy/slots.hpp
+++ b/include/vanillahill/kernel/policy/slots.hpp
@@ -29,7 +29,7 @@
                               std::mt19937_64 &Random, const peer::Message &Message, Actions &Out,
                               TimePoint Now) {
   { Slots.assign(Service, Servers, Vm, Alive) } -> std::same_as<void>;
-  { Const.idleAt(Servers, Index, Now) } -> std::same_as<std::uint32_t>;
+  { Slots.idleByServer(Servers, Now) } -> std::same_as<std::span<const std::uint32_t>>;
   { Slots.take(Servers, Index, Now) } -> std::same_as<std::optional<SlotHandle>>;
   { Slots.release(Handle, Wanted) } -> std::same_as<void>;
   { Slots.mayOverflow(Servers, Now) } -> std::same_as<bool>;
@@ -42,9 +42,14 @@
 };
 
 /// No limit: every server always takes one more request.
-struct UnlimitedSlots {
-  static void assign(ServiceId, const ServerTable &, VmId, std::span<const VmId>) {}
-  static std::uint32_t idleAt(const ServerTable &, ServerIndex, TimePoint) { return 1; }
+class UnlimitedSlots {
+public:
+  void assign(ServiceId, const ServerTable &Servers, VmId, std::span<const VmId>) {
+    m_AlwaysOne.assign(Servers.size(), 1);
+  }
+  std::span<const std::uint32_t> idleByServer(const ServerTable &, TimePoint) const {
+    return m_AlwaysOne;
+  }
   static std::optional<SlotHandle> take(const ServerTable &, ServerIndex, TimePoint) {
     return std::nullopt;
   }
@@ -58,6 +63,9 @@
   static std::uint32_t heldAt(ServerId) { return 0; }
   static std::uint32_t idle() { return 0; }
   static TimePoint nextTimer(TimePoint) { return TimePoint::max(); }
+
+private:
+  std::vector<std::uint32_t> m_AlwaysOne;
 };
 
 /// Each slot of each server is owned by one VM, by rendezvous hashing with a bound on each VM's
@@ -85,8 +93,9 @@
   void assign(ServiceId Service, const ServerTable &Servers, VmId Self,
               std::span<const VmId> Alive);
 
-  /// \brief Idle slots of a server that may be used now.
-  std::uint32_t idleAt(const ServerTable &Servers, ServerIndex Index, TimePoint Now) const;
+  /// \brief Idle slots of each server that may be used now, in the order of the table.
+  /// \return valid until the next call. \note Complexity: linear in the slots held.
+  std::span<const std::uint32_t> idleByServer(const ServerTable &Servers, TimePoint Now);
 
   /// \brief Occupies an idle slot of a server; an owned one before a borrowed one.
   std::optional<SlotHandle> take(const ServerTable &Servers, ServerIndex Index, TimePoint Now);
@@ -121,11 +130,15 @@
   TimePoint nextTimer(TimePoint Now) const;
 
 private:
+  static constexpr ServerIndex NoServer = ~ServerIndex{0};
+
   enum class SlotState : std::uint8_t { Idle, Busy, Lent };
 
   struct HeldSlot {
     SlotHandle m_Handle{};
     peer::Slot m_Slot;
+    /// Position of the server; NoServer once the server is gone from the settings.
+    ServerIndex m_Server = NoServer;
     SlotState m_State = SlotState::Idle;
     /// The lender of a borrowed slot, the borrower of a lent one.
     VmId m_Peer{};
@@ -150,11 +163,14 @@
   bool usable(const HeldSlot &Slot, TimePoint Now) const;
   bool refillAsks(TimePoint Now);
   std::optional<VmId> choosePeer(std::mt19937_64 &Random) const;
+  bool isAsked(VmId Vm) const;
+  std::uint32_t idleOf(VmId Vm) const;
   void lend(VmId To, std::uint32_t Count, const ServerTable &Servers, const Demand &Wanted,
             Actions &Out);
-  void borrow(VmId From, const peer::SlotLoan &Loan, const Demand &Wanted);
+  void borrow(VmId From, const peer::SlotLoan &Loan, const ServerTable &Servers,
+              const Demand &Wanted);
   void takeBack(VmId From, const peer::SlotReturn &Returned);
-  void add(const peer::Slot &Slot);
+  HeldSlot &add(const peer::Slot &Slot, const ServerTable &Servers);
   void checkInvariants() const;
 
   ServiceId m_Service{};
@@ -162,7 +178,10 @@
   std::vector<VmId> m_Peers;
   std::vector<HeldSlot> m_Slots;
   std::vector<OpenAsk> m_Asks;
+  /// Sorted by VM.
   std::vector<PeerHint> m_Hints;
+  /// Scratch space of idleByServer().
+  std::vector<std::uint32_t> m_IdleByServer;
   std::uint64_t m_NextHandle = 1;
   std::uint32_t m_TotalSlots = 0;
   double m_AskTokens = AskBurst;
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace vanillahill::kernel {
@@ -93,6 +94,9 @@
     for (const ServiceSettings &Service : m_Settings->m_Services) {
       applyService(Service, Now);
     }
+    for (const auto &[Id, Dispatcher] : m_Dispatchers) {
+      touch(Id);
+    }
     serveIfReady();
     m_Sharers.clear();
     shareSlots();
@@ -141,6 +145,37 @@
     m_Sharers = std::move(Sharers);
     for (auto &[Id, Dispatcher] : m_Dispatchers) {
       Dispatcher->setMembers(m_Sharers);
+      touch(Id);
+    }
+  }
+
+  /// Notes that an event changed a dispatcher, so that its timer is read again.
+  void touch(ServiceId Service) { m_Touched.push_back(Service); }
+
+  void rescheduleTouched(TimePoint Now) {
+    for (const ServiceId Service : m_Touched) {
+      const TimePoint Next = find(Service)->nextTimer(Now);
+      auto [Known, Inserted] = m_DueAt.try_emplace(Service, Next);
+      if (!Inserted && Known->second != Next) {
+        m_Due.erase({Known->second, Service});
+        Known->second = Next;
+        Inserted = true;
+      }
+      if (Inserted && Next != TimePoint::max()) {
+        m_Due.emplace(Next, Service);
+      }
+    }
+    m_Touched.clear();
+  }
+
+  /// Lets the dispatchers act whose time has come.
+  void tickDue(TimePoint Now, Actions &Out) {
+    for (const auto &[At, Service] : m_Due) {
+      if (At > Now) {
+        return;
+      }
+      find(Service)->tick(Now, Out);
+      touch(Service);
     }
   }
 
@@ -190,6 +225,7 @@
     OpenRequest &Open = m_Open.at(Request);
     Open.m_Running = true;
     find(Open.m_Service)->arrive(Request, Open.m_Kind, Open.m_Deadline, Now, Out);
+    touch(Open.m_Service);
   }
 
   void on(const CallerGone &Input, TimePoint Now, Actions &Out) {
@@ -199,6 +235,7 @@
     }
     if (Found->second.m_Running) {
       find(Found->second.m_Service)->callerGone(Input.m_Request, Now, Out);
+      touch(Found->second.m_Service);
     } else if (m_Keys.callerGone(Input.m_Request, Now)) {
       Out.push_back(Answer{.m_Request = Input.m_Request, .m_Reason = Reason::CallerGone});
     }
@@ -212,11 +249,13 @@
     const ServiceId Service = Found->second;
     m_Attempts.erase(Found);
     find(Service)->attemptEnded(Input, Now, Out);
+    touch(Service);
   }
 
   void on(const ProbeEnded &Input, TimePoint Now, Actions &Out) {
     for (auto &[Id, Dispatcher] : m_Dispatchers) {
       Dispatcher->probeEnded(Input, Now, Out);
+      touch(Id);
     }
   }
 
@@ -224,6 +263,7 @@
     if (const std::optional<ServiceId> Service = serviceOf(Input.m_Message)) {
       if (DispatcherBase *Dispatcher = find(*Service)) {
         Dispatcher->peerMessage(Input.m_From, Input.m_Message, Now, Out);
+        touch(*Service);
       }
     } else if (const auto *Beat = std::get_if<peer::Heartbeat>(&Input.m_Message)) {
       onHeartbeat(Input.m_From, *Beat, Now, Out);
@@ -291,9 +331,7 @@
     tick(Now, Out);
     m_Keys.tick(Now, Out);
     m_Replica.tick(Now, Out);
-    for (auto &[Id, Dispatcher] : m_Dispatchers) {
-      Dispatcher->tick(Now, Out);
-    }
+    tickDue(Now, Out);
   }
 
   /// Sends the heartbeats that are due and follows changes of the membership.
@@ -374,8 +412,8 @@
     if (m_StopAt && m_Now < *m_StopAt) {
       Next = std::min(Next, *m_StopAt);
     }
-    for (const auto &[Id, Dispatcher] : m_Dispatchers) {
-      Next = std::min(Next, Dispatcher->nextTimer(m_Now));
+    if (!m_Due.empty()) {
+      Next = std::min(Next, m_Due.begin()->first);
     }
     return Next;
   }
@@ -410,6 +448,11 @@
   std::map<VmId, std::vector<peer::FileVersion>> m_PeerVersions;
   std::shared_ptr<const SiteSettings> m_Settings;
   std::map<ServiceId, std::unique_ptr<DispatcherBase>> m_Dispatchers;
+  /// When each dispatcher wants to act, and the same in order of time.
+  std::map<ServiceId, TimePoint> m_DueAt;
+  std::set<std::pair<TimePoint, ServiceId>> m_Due;
+  /// Dispatchers that this event changed.
+  std::vector<ServiceId> m_Touched;
   std::unordered_map<RequestId, OpenRequest> m_Open;
   std::unordered_map<AttemptId, ServiceId> m_Attempts;
   std::map<KindId, KindCounters> m_GuardCounters;
@@ -432,6 +475,7 @@
   std::visit([&](const auto &Typed) { m_State->on(Typed, Now, Out); }, Input);
   m_State->follow(Before, Now, Out);
   m_State->stopWhenDone(Now, Out);
+  m_State->rescheduleTouched(Now);
 }
 
 TimePoint Node::nextTimer() const { return m_State->nextTimer(); }
--- a/src/kernel/slots.cpp
+++ b/src/kernel/slots.cpp
@@ -91,6 +91,7 @@
   }
   std::sort(Owned.begin(), Owned.end());
   for (HeldSlot &Slot : m_Slots) {
+    Slot.m_Server = Servers.find(Slot.m_Slot.m_Server).value_or(NoServer);
     Slot.m_Disowned =
         !Slot.m_Borrowed && !std::binary_search(Owned.begin(), Owned.end(), Slot.m_Slot);
   }
@@ -102,7 +103,7 @@
       return !Held.m_Borrowed && Held.m_Slot == Slot;
     });
     if (!Known) {
-      add(Slot);
+      add(Slot, Servers);
     }
   }
   std::erase_if(m_Hints, [this](const PeerHint &Hint) {
@@ -111,29 +112,32 @@
   checkInvariants();
 }
 
-void LentSlots::add(const peer::Slot &Slot) {
-  m_Slots.push_back({.m_Handle = SlotHandle{m_NextHandle++}, .m_Slot = Slot});
+LentSlots::HeldSlot &LentSlots::add(const peer::Slot &Slot, const ServerTable &Servers) {
+  m_Slots.push_back({.m_Handle = SlotHandle{m_NextHandle++},
+                     .m_Slot = Slot,
+                     .m_Server = Servers.find(Slot.m_Server).value_or(NoServer)});
+  return m_Slots.back();
 }
 
 bool LentSlots::usable(const HeldSlot &Slot, TimePoint Now) const {
   return Slot.m_State == SlotState::Idle && (!Slot.m_Borrowed || Now < Slot.m_Until);
 }
 
-std::uint32_t LentSlots::idleAt(const ServerTable &Servers, ServerIndex Index,
-                                TimePoint Now) const {
-  const ServerId Server = Servers.at(Index).m_Settings.m_Id;
-  return static_cast<std::uint32_t>(
-      std::count_if(m_Slots.begin(), m_Slots.end(), [&](const HeldSlot &Slot) {
-        return Slot.m_Slot.m_Server == Server && usable(Slot, Now);
-      }));
+std::span<const std::uint32_t> LentSlots::idleByServer(const ServerTable &Servers, TimePoint Now) {
+  m_IdleByServer.assign(Servers.size(), 0);
+  for (const HeldSlot &Slot : m_Slots) {
+    if (Slot.m_Server != NoServer && usable(Slot, Now)) {
+      ++m_IdleByServer[Slot.m_Server];
+    }
+  }
+  return m_IdleByServer;
 }
 
-std::optional<SlotHandle> LentSlots::take(const ServerTable &Servers, ServerIndex Index,
+std::optional<SlotHandle> LentSlots::take(const ServerTable & /*Servers*/, ServerIndex Index,
                                           TimePoint Now) {
-  const ServerId Server = Servers.at(Index).m_Settings.m_Id;
   HeldSlot *Best = nullptr;
   for (HeldSlot &Slot : m_Slots) {
-    if (Slot.m_Slot.m_Server != Server || !usable(Slot, Now)) {
+    if (Slot.m_Server != Index || !usable(Slot, Now)) {
       continue;
     }
     if (Best == nullptr || (Best->m_Borrowed && !Slot.m_Borrowed)) {
@@ -182,27 +186,33 @@
   return m_AskTokens >= 1.0;
 }
 
+bool LentSlots::isAsked(VmId Vm) const {
+  return std::any_of(m_Asks.begin(), m_Asks.end(),
+                     [Vm](const OpenAsk &Ask) { return Ask.m_To == Vm; });
+}
+
+std::uint32_t LentSlots::idleOf(VmId Vm) const {
+  const auto Found =
+      std::lower_bound(m_Hints.begin(), m_Hints.end(), Vm,
+                       [](const PeerHint &Hint, VmId Wanted) { return Hint.m_Vm < Wanted; });
+  return Found != m_Hints.end() && Found->m_Vm == Vm ? Found->m_Idle : 0;
+}
+
+/// Of some peers drawn at random, the one that reported most idle slots.
 std::optional<VmId> LentSlots::choosePeer(std::mt19937_64 &Random) const {
-  std::vector<VmId> Candidates;
-  for (const VmId Vm : m_Peers) {
-    const bool Asked = std::any_of(m_Asks.begin(), m_Asks.end(),
-                                   [Vm](const OpenAsk &Ask) { return Ask.m_To == Vm; });
-    if (!Asked) {
-      Candidates.push_back(Vm);
-    }
+  constexpr int Draws = 4;
+  std::optional<VmId> Best;
+  if (m_Peers.empty()) {
+    return Best;
   }
-  if (Candidates.empty()) {
-    return std::nullopt;
+  std::uniform_int_distribution<std::size_t> Any(0, m_Peers.size() - 1);
+  for (int Draw = 0; Draw < Draws; ++Draw) {
+    const VmId Vm = m_Peers[Any(Random)];
+    if (!isAsked(Vm) && (!Best || idleOf(Vm) > idleOf(*Best))) {
+      Best = Vm;
+    }
   }
-  const auto IdleOf = [this](VmId Vm) {
-    const auto Found = std::find_if(m_Hints.begin(), m_Hints.end(),
-                                    [Vm](const PeerHint &Hint) { return Hint.m_Vm == Vm; });
-    return Found == m_Hints.end() ? 0U : Found->m_Idle;
-  };
-  std::uniform_int_distribution<std::size_t> Any(0, Candidates.size() - 1);
-  const VmId First = Candidates[Any(Random)];
-  const VmId Second = Candidates[Any(Random)];
-  return IdleOf(Second) > IdleOf(First) ? Second : First;
+  return Best;
 }
 
 void LentSlots::ask(const Demand &Wanted, std::mt19937_64 &Random, Actions &Out) {
@@ -227,7 +237,7 @@
   if (const auto *Request = std::get_if<peer::SlotRequest>(&Message)) {
     lend(From, Request->m_Count, Servers, Wanted, Out);
   } else if (const auto *Loan = std::get_if<peer::SlotLoan>(&Message)) {
-    borrow(From, *Loan, Wanted);
+    borrow(From, *Loan, Servers, Wanted);
   } else if (const auto *Returned = std::get_if<peer::SlotReturn>(&Message)) {
     takeBack(From, *Returned);
   }
@@ -255,7 +265,8 @@
   Out.push_back(SendPeer{To, std::move(Loan)});
 }
 
-void LentSlots::borrow(VmId From, const peer::SlotLoan &Loan, const Demand &Wanted) {
+void LentSlots::borrow(VmId From, const peer::SlotLoan &Loan, const ServerTable &Servers,
+                       const Demand &Wanted) {
   constexpr std::uint32_t DeclinesBeforeQuiet = 3;
   constexpr std::uint32_t MostDoublings = 6;
   constexpr Duration FirstQuiet = std::chrono::milliseconds(4);
@@ -272,10 +283,10 @@
   m_Declines = 0;
   const Duration Term = std::min(Loan.m_Term, LoanTerm);
   for (const peer::Slot &Slot : Loan.m_Slots) {
-    add(Slot);
-    m_Slots.back().m_Borrowed = true;
-    m_Slots.back().m_Peer = From;
-    m_Slots.back().m_Until = Wanted.m_Now + Term;
+    HeldSlot &Held = add(Slot, Servers);
+    Held.m_Borrowed = true;
+    Held.m_Peer = From;
+    Held.m_Until = Wanted.m_Now + Term;
   }
 }
 
@@ -291,13 +302,15 @@
 }
 
 void LentSlots::setHint(VmId From, std::uint32_t IdleSlots, TimePoint Now) {
-  const auto Found = std::find_if(m_Hints.begin(), m_Hints.end(),
-                                  [From](const PeerHint &Hint) { return Hint.m_Vm == From; });
-  if (Found != m_Hints.end()) {
-    *Found = {.m_Vm = From, .m_Idle = IdleSlots, .m_At = Now};
-    return;
+  const auto Place =
+      std::lower_bound(m_Hints.begin(), m_Hints.end(), From,
+                       [](const PeerHint &Hint, VmId Wanted) { return Hint.m_Vm < Wanted; });
+  const PeerHint Hint{.m_Vm = From, .m_Idle = IdleSlots, .m_At = Now};
+  if (Place != m_Hints.end() && Place->m_Vm == From) {
+    *Place = Hint;
+  } else if (std::binary_search(m_Peers.begin(), m_Peers.end(), From)) {
+    m_Hints.insert(Place, Hint);
   }
-  m_Hints.push_back({.m_Vm = From, .m_Idle = IdleSlots, .m_At = Now});
 }
 
 void LentSlots::flush(const Demand &Wanted, Actions &Out) {
