--- /dev/null
+++ b/include/vanillahill/net/detail/message_reader.hpp
@@ -0,0 +1,142 @@
+/// \file
+/// Reads HTTP/1.1 messages from received bytes: strict head check first, then the Beast parser.
+#pragma once
+
+#include "vanillahill/net/detail/types.hpp"
+#include "vanillahill/net/head_check.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <limits>
+#include <optional>
+
+namespace vanillahill::net {
+
+/// Bounds of one message.
+struct MessageLimits {
+  std::size_t m_HeaderBytes = 8192;
+  std::size_t m_BodyBytes = 1U << 20U;
+};
+
+/// What a reader has come to.
+enum class ReadState : std::uint8_t { NeedMore, Whole, Faulty };
+
+/// Takes bytes of one connection and gives whole messages, one after the other.
+template <bool IsRequest> class MessageReader {
+public:
+  using Message = http::message<IsRequest, http::string_body>;
+
+  explicit MessageReader(MessageLimits Limits) : m_Limits(Limits) {}
+
+  /// \brief Where the next bytes are to be received.
+  auto prepare() { return m_Buffer.prepare(ReadBytes); }
+
+  /// \brief Says that bytes were received into prepare().
+  void commit(std::size_t Count) { m_Buffer.commit(Count); }
+
+  /// \brief Reads on in the bytes received so far.
+  /// \return Whole once a message is complete; then call take()
+  ReadState advance() {
+    if (!m_Parser && !startMessage()) {
+      return m_Fault == CallerFault::None ? ReadState::NeedMore : ReadState::Faulty;
+    }
+    return advanceBody();
+  }
+
+  /// \brief Hands out the whole message and starts anew with the bytes behind it.
+  Message take() {
+    Message Whole = m_Parser->release();
+    m_Parser.reset();
+    return Whole;
+  }
+
+  /// \brief Some bytes of a message came, but not all.
+  bool isInMessage() const { return m_Parser.has_value() || m_Buffer.size() > 0; }
+
+  /// \brief The head was read and a body is expected. The caller may ask for "100 Continue".
+  bool isWaitingForBody() const { return m_Parser && m_Buffer.size() == 0; }
+
+  /// \brief A header of the message being read.
+  std::string_view header(http::field Name) const {
+    const auto Value = m_Parser->get()[Name];
+    return {Value.data(), Value.size()};
+  }
+
+  /// \brief Bytes behind the last whole message.
+  std::size_t leftOver() const { return m_Buffer.size(); }
+
+  CallerFault fault() const { return m_Fault; }
+
+private:
+  static constexpr std::size_t ReadBytes = 16384;
+
+  std::string_view bytes() const {
+    const auto Data = m_Buffer.data();
+    return {static_cast<const char *>(Data.data()), Data.size()};
+  }
+
+  bool startMessage() {
+    const auto Length = headLength(bytes());
+    if (Length > m_Limits.m_HeaderBytes ||
+        (Length == 0 && bytes().size() > m_Limits.m_HeaderBytes)) {
+      m_Fault = CallerFault::HeaderTooLong;
+      return false;
+    }
+    if (Length == 0) {
+      m_Fault = checkPartialHead(bytes());
+      return false;
+    }
+    m_Fault = checkHead(bytes().substr(0, Length), IsRequest ? HeadKind::Request : HeadKind::Reply);
+    return m_Fault == CallerFault::None && parseHead(Length);
+  }
+
+  bool parseHead(std::size_t Length) {
+    m_Parser.emplace();
+    m_Parser->eager(true);
+    m_Parser->header_limit(std::numeric_limits<std::uint32_t>::max());
+    m_Parser->body_limit(m_Limits.m_BodyBytes);
+    ErrorCode Failure;
+    const auto Used = m_Parser->put(asio::const_buffer(bytes().data(), Length), Failure);
+    m_Buffer.consume(Used);
+    return acceptStep(Failure);
+  }
+
+  ReadState advanceBody() {
+    while (!m_Parser->is_done() && m_Buffer.size() > 0) {
+      ErrorCode Failure;
+      const auto Used = m_Parser->put(m_Buffer.data(), Failure);
+      m_Buffer.consume(Used);
+      if (!acceptStep(Failure)) {
+        return ReadState::Faulty;
+      }
+      if (Failure == http::error::need_more || Used == 0) {
+        break;
+      }
+    }
+    if (m_Parser->is_done()) {
+      return ReadState::Whole;
+    }
+    // A chunk header may stay in the buffer until it is whole; its length has the head's bound.
+    if (m_Buffer.size() > m_Limits.m_HeaderBytes + ReadBytes) {
+      m_Fault = CallerFault::Malformed;
+      return ReadState::Faulty;
+    }
+    return ReadState::NeedMore;
+  }
+
+  bool acceptStep(ErrorCode Failure) {
+    if (!Failure || Failure == http::error::need_more) {
+      return true;
+    }
+    m_Fault =
+        Failure == http::error::body_limit ? CallerFault::BodyTooLong : CallerFault::Malformed;
+    return false;
+  }
+
+  MessageLimits m_Limits;
+  beast::flat_buffer m_Buffer;
+  std::optional<http::parser<IsRequest, http::string_body>> m_Parser;
+  CallerFault m_Fault = CallerFault::None;
+};
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/include/vanillahill/net/detail/platform_channel.hpp
@@ -0,0 +1,64 @@
+/// \file
+/// One connection to the platform, for one request at a time.
+#pragma once
+
+#include "vanillahill/net/detail/types.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <optional>
+
+namespace vanillahill::net {
+
+/// One request to the platform.
+struct PlatformRequest {
+  http::verb m_Method = http::verb::get;
+  std::string m_Target;
+  std::string m_Body = {};
+  Duration m_Timeout = std::chrono::seconds(2);
+};
+
+/// Connects when needed, keeps the connection, closes it after a failure. All members belong to
+/// its strand.
+class PlatformChannel : public std::enable_shared_from_this<PlatformChannel> {
+public:
+  using Handler = std::function<void(Result<std::string>)>;
+
+  PlatformChannel(asio::io_context &Io, std::string Address);
+
+  /// \brief Sends a request when the one before has ended.
+  /// \param Done is given the body of a 200 answer, or Errc::LogUnavailable
+  void request(PlatformRequest Request, Handler Done);
+
+  /// \brief Runs a function in the channel's strand after a time.
+  void after(Duration Wait, std::function<void()> Then);
+
+  /// \brief Closes the connection; what is under way fails.
+  void close();
+
+  const std::string &address() const { return m_Address; }
+
+private:
+  using Stream = beast::basic_stream<Tcp, Strand>;
+
+  void connect();
+  void send();
+  void receive();
+  void end(ErrorCode Failure);
+  void finish(Result<std::string> Outcome);
+  Error failure(std::string Detail) const;
+
+  const std::string m_Address;
+  Stream m_Stream;
+  Timer m_Timer;
+  beast::flat_buffer m_Buffer;
+  PlatformRequest m_Current;
+  Handler m_Done;
+  http::request<http::string_body> m_Request;
+  std::optional<http::response_parser<http::string_body>> m_Parser;
+  bool m_IsConnected = false;
+  bool m_IsClosed = false;
+};
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/include/vanillahill/net/entry.hpp
@@ -0,0 +1,58 @@
+/// \file
+/// The entry process: the kernel with everything that does input and output for it.
+#pragma once
+
+#include "vanillahill/core/error.hpp"
+#include "vanillahill/kernel/status.hpp"
+#include "vanillahill/settings/settings.hpp"
+
+#include <cstdint>
+#include <memory>
+
+namespace vanillahill::net {
+
+/// What an entry process is told at its start.
+struct EntryOptions {
+  VmSettings m_Vm;
+  /// Higher at each start of the same VM.
+  std::uint64_t m_Incarnation = 1;
+  /// Set in tests: in force from the start, and no platform is polled.
+  std::shared_ptr<const SiteSettings> m_Settings;
+  /// SIGTERM and SIGINT stop the process gracefully.
+  bool m_HandleSignals = false;
+};
+
+/// One entry VM. Listens from the time it is opened and serves while run() runs.
+class Entry {
+public:
+  /// \brief Opens the listening sockets.
+  /// \return the entry, or Errc::AddressUnusable
+  static Result<std::unique_ptr<Entry>> open(EntryOptions Options);
+
+  ~Entry();
+  Entry(const Entry &) = delete;
+  Entry &operator=(const Entry &) = delete;
+
+  /// \brief Serves with a pool of workers until a stop is complete.
+  void run();
+
+  /// \brief Begins a graceful stop: nothing in flight is cut off, then run() returns.
+  /// \note Thread safe.
+  void requestStop();
+
+  /// \brief The port that callers connect to.
+  std::uint16_t callerPort() const;
+
+  /// \brief The port that operators connect to.
+  std::uint16_t adminPort() const;
+
+  /// \brief The kernel's status. \note Thread safe.
+  kernel::NodeStatus status() const;
+
+private:
+  struct State;
+  explicit Entry(std::unique_ptr<State> Opened);
+  std::unique_ptr<State> m_State;
+};
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/include/vanillahill/net/fault.hpp
@@ -0,0 +1,65 @@
+/// \file
+/// Faults of a caller's message or connection, as counters and answers name them.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace vanillahill::net {
+
+/// Why an entry VM refused a caller before the kernel saw a request.
+enum class CallerFault : std::uint8_t {
+  None,
+  /// The head or the body is not HTTP/1.1.
+  Malformed,
+  /// A line of the head ends in LF without CR, or holds CR without LF.
+  BareLineEnd,
+  /// A control byte inside the head.
+  ControlByte,
+  /// A header continued on the next line.
+  FoldedHeader,
+  /// A header without a name, or with a space in its name.
+  HeaderName,
+  /// More than one Content-Length.
+  TwoLengths,
+  /// Content-Length together with Transfer-Encoding.
+  LengthWithChunked,
+  /// A Content-Length that is not a decimal number.
+  BadLength,
+  /// A Transfer-Encoding other than "chunked".
+  TransferEncoding,
+  /// Not exactly one Host header.
+  Host,
+  /// The head is longer than allowed.
+  HeaderTooLong,
+  /// The body is longer than allowed.
+  BodyTooLong,
+  /// The caller was too slow to send a request.
+  SlowRequest,
+  /// The caller was too slow to read its answer.
+  SlowAnswer,
+  /// A method other than GET and POST.
+  Method,
+  /// An Idempotency header that does not follow its rule.
+  BadKey,
+  /// The path names no service or kind.
+  UnknownKind,
+  /// No configuration is in force.
+  NotServing,
+  /// As many callers as allowed are connected.
+  TooManyConnections,
+};
+
+/// Number of values of CallerFault.
+inline constexpr std::size_t CallerFaultCount =
+    static_cast<std::size_t>(CallerFault::TooManyConnections) + 1;
+
+/// \brief The name of a fault, as counters and VH-Reason show it.
+/// \return lower case words joined by "_"
+std::string_view toString(CallerFault Value);
+
+/// \brief The HTTP status that tells a caller of a fault.
+unsigned statusOf(CallerFault Value);
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/src/net/backend_exchange.cpp
@@ -0,0 +1,63 @@
+#include "vanillahill/net/detail/backend_exchange.hpp"
+
+#include <algorithm>
+
+namespace vanillahill::net {
+
+namespace {
+
+constexpr unsigned HttpVersion = 11;
+constexpr std::string_view HealthPath = "/vh/health";
+constexpr std::string_view ExchangeHeader = "VH-Exchange";
+
+bool isTrue(const HttpReply &Message, std::string_view Name) { return Message[Name] == "true"; }
+
+bool hasNoBody(http::status Status) {
+  return Status == http::status::no_content || Status == http::status::not_modified;
+}
+
+HttpRequest healthMessage() {
+  HttpRequest Message(http::verb::get, HealthPath, HttpVersion);
+  Message.set(http::field::host, "vanillahill");
+  return Message;
+}
+
+} // namespace
+
+HttpRequest exchangeMessage(const BackendExchange &Exchange, std::string_view VmName,
+                            TimePoint Now) {
+  auto Message = Exchange.isProbe() ? healthMessage() : Exchange.m_Request->m_Message;
+  const auto Left = std::max<std::int64_t>(toMillis(Exchange.m_Deadline - Now), 0);
+  Message.set("VH-Deadline-Ms", std::to_string(Left));
+  Message.set(ExchangeHeader, std::to_string(Exchange.m_Id));
+  Message.set("VH-Vm", VmName);
+  return Message;
+}
+
+bool belongsTo(const HttpReply &Message, const BackendExchange &Exchange) {
+  return Message.count(ExchangeHeader) == 1 &&
+         Message[ExchangeHeader] == std::to_string(Exchange.m_Id);
+}
+
+bool hasLength(const HttpReply &Message) {
+  return Message.chunked() || Message.count(http::field::content_length) == 1 ||
+         hasNoBody(Message.result());
+}
+
+ExchangeEnd exchangeEnd(HttpReply Message) {
+  ExchangeEnd End;
+  End.m_ServerLeaving = isTrue(Message, "VH-Leaving");
+  if (Message.result() == http::status::service_unavailable && isTrue(Message, "VH-Not-Run")) {
+    End.m_Result = kernel::AttemptResult::NotRun;
+    return End;
+  }
+  auto Whole = std::make_shared<Reply>();
+  Whole->m_Status = Message.result_int();
+  Whole->m_ContentType = std::string(Message[http::field::content_type]);
+  Whole->m_Body = std::move(Message.body());
+  End.m_Result = kernel::AttemptResult::Completed;
+  End.m_Reply = std::move(Whole);
+  return End;
+}
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/src/net/caller_connection.cpp
@@ -0,0 +1,269 @@
+#include "vanillahill/net/detail/caller_connection.hpp"
+
+#include "vanillahill/net/detail/answer_message.hpp"
+
+#include <boost/asio/write.hpp>
+
+namespace vanillahill::net {
+
+namespace {
+
+/// A connection without a request is kept open for this multiple of the callers' timeout.
+constexpr int IdleTimeouts = 6;
+/// How long a refused caller may go on sending before its connection is closed.
+constexpr std::chrono::seconds LingerTime(1);
+constexpr std::string_view ContinueText = "HTTP/1.1 100 Continue\r\n\r\n";
+
+bool isFinal(CallerFault Fault) {
+  switch (Fault) {
+  case CallerFault::Method:
+  case CallerFault::BadKey:
+  case CallerFault::UnknownKind:
+  case CallerFault::NotServing:
+    return false;
+  default:
+    return true;
+  }
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(std::uint64_t Id, Socket Stream,
+                                   std::shared_ptr<CallerServer> Server)
+    : m_Id(Id), m_Stream(std::move(Stream)), m_Server(std::move(Server)),
+      m_Limits(m_Server->limits()),
+      m_Reader({.m_HeaderBytes = m_Limits.m_HeaderBytes, .m_BodyBytes = m_Limits.m_BodyBytes}),
+      m_CutAt(TimePoint::max().time_since_epoch().count()) {
+  setNoDelay(m_Stream);
+  enter(CallerPhase::Idle);
+}
+
+void CallerConnection::start() {
+  asio::dispatch(m_Stream.get_executor(), [Self = shared_from_this()] { Self->read(); });
+}
+
+void CallerConnection::startRefusal(CallerFault Fault) {
+  asio::dispatch(m_Stream.get_executor(), [Self = shared_from_this(), Fault] {
+    Self->read();
+    Self->refuse(Fault);
+  });
+}
+
+void CallerConnection::read() {
+  if (m_IsReading) {
+    return;
+  }
+  m_IsReading = true;
+  m_Stream.async_read_some(m_Reader.prepare(),
+                           [Self = shared_from_this()](ErrorCode Failure, std::size_t Count) {
+                             Self->onRead(Failure, Count);
+                           });
+}
+
+void CallerConnection::onRead(ErrorCode Failure, std::size_t Count) {
+  m_IsReading = false;
+  if (m_Phase == CallerPhase::Closed) {
+    return;
+  }
+  if (Failure) {
+    onPeerClosed();
+    return;
+  }
+  if (m_Phase == CallerPhase::Lingering) {
+    read();
+    return;
+  }
+  m_Reader.commit(Count);
+  if (m_Phase == CallerPhase::Idle || m_Phase == CallerPhase::Receiving) {
+    advance();
+  }
+  // In the other phases the bytes belong to the next request; no more are read until the answer.
+}
+
+void CallerConnection::onPeerClosed() {
+  if (m_Phase == CallerPhase::Waiting) {
+    m_Server->abandon(m_Request);
+  }
+  if (m_Phase == CallerPhase::Answering) {
+    m_PeerClosed = true;
+    return;
+  }
+  close();
+}
+
+void CallerConnection::advance() {
+  switch (m_Reader.advance()) {
+  case ReadState::Faulty:
+    refuse(m_Reader.fault());
+    return;
+  case ReadState::Whole:
+    submit();
+    return;
+  case ReadState::NeedMore:
+    break;
+  }
+  if (m_Phase == CallerPhase::Idle && m_Reader.isInMessage()) {
+    enter(CallerPhase::Receiving);
+  }
+  if (m_Reader.isWaitingForBody() && !m_AskedToContinue) {
+    sendContinue();
+  }
+  read();
+}
+
+void CallerConnection::sendContinue() {
+  m_AskedToContinue = true;
+  if (!beast::iequals(m_Reader.header(http::field::expect), "100-continue")) {
+    return;
+  }
+  // 25 bytes fit into the send buffer of a connection that awaits them.
+  ErrorCode Ignored;
+  m_Stream.non_blocking(true, Ignored);
+  m_Stream.write_some(asio::buffer(ContinueText), Ignored);
+}
+
+void CallerConnection::submit() {
+  m_AskedToContinue = false;
+  auto Message = m_Reader.take();
+  m_KeepAlive = Message.keep_alive();
+  const auto Routes = m_Server->routes();
+  auto Parsed = parseCallerRequest(std::move(Message), Routes.get());
+  if (Parsed.m_Fault != CallerFault::None) {
+    refuse(Parsed.m_Fault);
+    return;
+  }
+  enter(CallerPhase::Waiting);
+  if (m_Reader.leftOver() == 0) {
+    read();
+  }
+  m_Request = m_Server->submit(shared_from_this(), std::move(Parsed.m_Request));
+}
+
+void CallerConnection::answer(RequestId Id, kernel::Answer Answer) {
+  asio::post(m_Stream.get_executor(),
+             [Self = shared_from_this(), Id, Moved = std::move(Answer)]() mutable {
+               if (Self->m_Phase != CallerPhase::Waiting || Self->m_Request != Id) {
+                 return;
+               }
+               Self->m_Answer = std::move(Moved);
+               const bool KeepAlive = Self->m_KeepAlive && !Self->m_Server->isLeaving();
+               Self->m_Response = answerMessage(Self->m_Answer, Self->m_RefusalText, KeepAlive);
+               Self->write(KeepAlive);
+             });
+}
+
+void CallerConnection::refuse(CallerFault Fault) {
+  m_Server->m_Metrics.countFault(Fault);
+  const bool KeepAlive = !isFinal(Fault) && m_KeepAlive && !m_Server->isLeaving();
+  m_Response = faultMessage(Fault, m_RefusalText, KeepAlive);
+  write(KeepAlive);
+}
+
+void CallerConnection::write(bool KeepAlive) {
+  enter(CallerPhase::Answering);
+  m_Serializer.emplace(m_Response);
+  http::async_write(m_Stream, *m_Serializer,
+                    [Self = shared_from_this(), KeepAlive](ErrorCode Failure, std::size_t) {
+                      Self->onWritten(Failure, KeepAlive);
+                    });
+}
+
+void CallerConnection::onWritten(ErrorCode Failure, bool KeepAlive) {
+  if (m_Phase != CallerPhase::Answering) {
+    return;
+  }
+  m_Serializer.reset();
+  m_Answer = {};
+  if (Failure || m_PeerClosed) {
+    close();
+    return;
+  }
+  if (!KeepAlive) {
+    linger();
+    return;
+  }
+  enter(CallerPhase::Idle);
+  if (m_Reader.leftOver() > 0) {
+    advance();
+  } else {
+    read();
+  }
+}
+
+void CallerConnection::linger() {
+  // Closing with unread bytes would reset the connection and could destroy the answer on its way.
+  enter(CallerPhase::Lingering);
+  ErrorCode Ignored;
+  m_Stream.shutdown(Socket::shutdown_send, Ignored);
+  read();
+}
+
+void CallerConnection::closeIfIdle() {
+  asio::post(m_Stream.get_executor(), [Self = shared_from_this()] {
+    if (Self->m_Phase == CallerPhase::Idle) {
+      Self->linger();
+    }
+  });
+}
+
+void CallerConnection::cutIfSlow(TimePoint Now) {
+  if (Now.time_since_epoch().count() < m_CutAt.load(std::memory_order_relaxed)) {
+    return;
+  }
+  asio::post(m_Stream.get_executor(), [Self = shared_from_this(), Now] {
+    if (Now.time_since_epoch().count() >= Self->m_CutAt.load(std::memory_order_relaxed)) {
+      Self->cut();
+    }
+  });
+}
+
+void CallerConnection::cut() {
+  switch (m_Phase) {
+  case CallerPhase::Receiving:
+    refuse(CallerFault::SlowRequest);
+    return;
+  case CallerPhase::Idle:
+    linger();
+    return;
+  case CallerPhase::Answering:
+    m_Server->m_Metrics.countFault(CallerFault::SlowAnswer);
+    close();
+    return;
+  default:
+    close();
+    return;
+  }
+}
+
+void CallerConnection::close() {
+  if (m_Phase == CallerPhase::Closed) {
+    return;
+  }
+  enter(CallerPhase::Closed);
+  closeSocket(m_Stream);
+  m_Server->removeConnection(m_Id);
+}
+
+void CallerConnection::enter(CallerPhase Phase) {
+  m_Phase = Phase;
+  auto CutAt = TimePoint::max();
+  const auto Now = SystemClock().now();
+  switch (Phase) {
+  case CallerPhase::Idle:
+    CutAt = Now + IdleTimeouts * m_Limits.m_Timeout;
+    break;
+  case CallerPhase::Receiving:
+  case CallerPhase::Answering:
+    CutAt = Now + m_Limits.m_Timeout;
+    break;
+  case CallerPhase::Lingering:
+    CutAt = Now + LingerTime;
+    break;
+  case CallerPhase::Waiting:
+  case CallerPhase::Closed:
+    break;
+  }
+  m_CutAt.store(CutAt.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/src/net/caller_request.cpp
@@ -0,0 +1,132 @@
+#include "vanillahill/net/detail/caller_request.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace vanillahill::net {
+
+namespace {
+
+constexpr std::size_t MaxKeyBytes = 64;
+constexpr char FirstVisible = 0x21;
+constexpr char LastVisible = 0x7e;
+
+constexpr std::string_view KeyHeader = "Idempotency-Key";
+constexpr std::string_view FirstHeader = "Idempotency-First";
+constexpr std::string_view AgeHeader = "Idempotency-Age-Ms";
+
+std::string_view view(beast::string_view Text) { return {Text.data(), Text.size()}; }
+
+bool isKey(std::string_view Text) {
+  return !Text.empty() && Text.size() <= MaxKeyBytes &&
+         std::all_of(Text.begin(), Text.end(),
+                     [](char Byte) { return Byte >= FirstVisible && Byte <= LastVisible; });
+}
+
+bool readKey(const HttpRequest &Message, CallerRequest &Out) {
+  if (Message.count(KeyHeader) == 0) {
+    return true;
+  }
+  const auto Key = view(Message[KeyHeader]);
+  Out.m_Key = std::string(Key);
+  return Message.count(KeyHeader) == 1 && isKey(Key);
+}
+
+bool readFirst(const HttpRequest &Message, CallerRequest &Out) {
+  if (Message.count(FirstHeader) == 0) {
+    return true;
+  }
+  const auto Value = view(Message[FirstHeader]);
+  Out.m_KeyAge.m_First = Value == "true";
+  return Message.count(FirstHeader) == 1 && (Value == "true" || Value == "false");
+}
+
+bool readAge(const HttpRequest &Message, CallerRequest &Out) {
+  if (Message.count(AgeHeader) == 0) {
+    return true;
+  }
+  const auto Value = view(Message[AgeHeader]);
+  std::uint32_t Millis = 0;
+  const auto *End = Value.data() + Value.size();
+  const auto Parsed = std::from_chars(Value.data(), End, Millis);
+  Out.m_KeyAge.m_Age = std::chrono::milliseconds(Millis);
+  return Message.count(AgeHeader) == 1 && Parsed.ec == std::errc{} && Parsed.ptr == End;
+}
+
+/// "service/kind" of a target, without what follows.
+std::string_view routeName(std::string_view Target) {
+  if (Target.empty() || Target.front() != '/') {
+    return {};
+  }
+  const auto Path = Target.substr(1, Target.find('?') - 1);
+  const auto FirstSlash = Path.find('/');
+  if (FirstSlash == std::string_view::npos) {
+    return {};
+  }
+  return Path.substr(0, Path.find('/', FirstSlash + 1));
+}
+
+} // namespace
+
+RouteTable::RouteTable(const SiteSettings &Settings) {
+  for (const auto &Service : Settings.m_Services) {
+    for (const auto &Kind : Service.m_Kinds) {
+      auto Name = Service.m_Name + "/" + Kind.m_Name;
+      const auto Id = idOf<KindId>(Name);
+      m_Routes[Id] = {Service.m_Id, Kind.m_Id, std::move(Name)};
+    }
+  }
+}
+
+const RouteTable::Route *RouteTable::find(std::string_view Target) const {
+  const auto Name = routeName(Target);
+  const auto Found = m_Routes.find(idOf<KindId>(Name));
+  // Any path may share an id with a known kind: the name decides.
+  return Found != m_Routes.end() && Found->second.m_Name == Name ? &Found->second : nullptr;
+}
+
+void removeConnectionHeaders(http::fields &Headers) {
+  std::vector<std::string> Named;
+  for (const auto &Token : http::token_list(Headers[http::field::connection])) {
+    Named.emplace_back(Token);
+  }
+  for (const auto &Name : Named) {
+    Headers.erase(Name);
+  }
+  for (const auto Name :
+       {http::field::connection, http::field::keep_alive, http::field::proxy_connection,
+        http::field::proxy_authenticate, http::field::proxy_authorization, http::field::te,
+        http::field::trailer, http::field::transfer_encoding, http::field::upgrade,
+        http::field::expect, http::field::content_length}) {
+    Headers.erase(Name);
+  }
+  for (const auto *Name : {"VH-Deadline-Ms", "VH-Exchange", "VH-Vm"}) {
+    Headers.erase(Name);
+  }
+}
+
+ParsedRequest parseCallerRequest(HttpRequest Message, const RouteTable *Routes) {
+  if (Message.method() != http::verb::get && Message.method() != http::verb::post) {
+    return {nullptr, CallerFault::Method};
+  }
+  if (Routes == nullptr) {
+    return {nullptr, CallerFault::NotServing};
+  }
+  const auto *Route = Routes->find(view(Message.target()));
+  if (Route == nullptr) {
+    return {nullptr, CallerFault::UnknownKind};
+  }
+  auto Request = std::make_shared<CallerRequest>();
+  Request->m_Service = Route->m_Service;
+  Request->m_Kind = Route->m_Kind;
+  if (!readKey(Message, *Request) || !readFirst(Message, *Request) || !readAge(Message, *Request)) {
+    return {nullptr, CallerFault::BadKey};
+  }
+  removeConnectionHeaders(Message.base());
+  Message.version(11);
+  Message.prepare_payload();
+  Request->m_Message = std::move(Message);
+  return {std::move(Request), CallerFault::None};
+}
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/src/net/caller_server.cpp
@@ -0,0 +1,189 @@
+#include "vanillahill/net/detail/caller_server.hpp"
+
+#include "vanillahill/net/detail/caller_connection.hpp"
+
+namespace vanillahill::net {
+
+namespace {
+
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+constexpr std::chrono::milliseconds AcceptPause(20);
+/// Slow callers are looked for this often in one timeout.
+constexpr int WatchesPerTimeout = 8;
+constexpr Duration ShortestWatch = std::chrono::milliseconds(5);
+/// Connections beyond the limit that are being told so at one time; more are closed at once.
+constexpr std::size_t MaxRefusals = 64;
+
+} // namespace
+
+CallerServer::CallerServer(asio::io_context &Io, Acceptor Listener, EventSink Post,
+                           observe::Metrics &Metrics)
+    : m_Io(Io), m_Acceptor(std::move(Listener)), m_WatchTimer(m_Acceptor.get_executor()),
+      m_Post(std::move(Post)), m_Metrics(Metrics) {
+  ErrorCode Ignored;
+  m_Port = m_Acceptor.local_endpoint(Ignored).port();
+}
+
+CallerServer::~CallerServer() = default;
+
+void CallerServer::start() {
+  asio::dispatch(m_Acceptor.get_executor(), [Self = shared_from_this()] {
+    Self->accept();
+    Self->watchSlowCallers();
+  });
+}
+
+void CallerServer::accept() {
+  m_Acceptor.async_accept(
+      asio::make_strand(m_Io), [Self = shared_from_this()](ErrorCode Failure, Socket Stream) {
+        if (Self->m_Closed.load()) {
+          return;
+        }
+        if (!Failure) {
+          Self->addConnection(std::move(Stream));
+          Self->accept();
+          return;
+        }
+        auto Pause = std::make_shared<Timer>(Self->m_Acceptor.get_executor(), AcceptPause);
+        Pause->async_wait([Self, Pause](ErrorCode) { Self->accept(); });
+      });
+}
+
+void CallerServer::addConnection(Socket Stream) {
+  const auto Open = connectionCount();
+  const auto Limit = limits().m_Connections;
+  if (Open >= Limit + MaxRefusals) {
+    m_Metrics.countFault(CallerFault::TooManyConnections);
+    return;
+  }
+  const bool IsFull = Open >= Limit;
+  const auto Id = ++m_LastConnection;
+  auto Added = std::make_shared<CallerConnection>(Id, std::move(Stream), shared_from_this());
+  {
+    const std::lock_guard Lock(m_Mutex);
+    m_Connections[Id] = Added;
+  }
+  if (IsFull) {
+    Added->startRefusal(CallerFault::TooManyConnections);
+  } else {
+    Added->start();
+  }
+}
+
+void CallerServer::watchSlowCallers() {
+  const auto Period = std::max(limits().m_Timeout / WatchesPerTimeout, ShortestWatch);
+  m_WatchTimer.expires_after(Period);
+  m_WatchTimer.async_wait([Self = shared_from_this()](ErrorCode Failure) {
+    if (Failure) {
+      return;
+    }
+    const auto Now = SystemClock().now();
+    for (const auto &Connection : Self->connections()) {
+      Connection->cutIfSlow(Now);
+    }
+    Self->watchSlowCallers();
+  });
+}
+
+std::vector<std::shared_ptr<CallerConnection>> CallerServer::connections() const {
+  const std::lock_guard Lock(m_Mutex);
+  std::vector<std::shared_ptr<CallerConnection>> All;
+  All.reserve(m_Connections.size());
+  for (const auto &[Id, Connection] : m_Connections) {
+    All.push_back(Connection);
+  }
+  return All;
+}
+
+void CallerServer::applySettings(const SiteSettings &Settings) {
+  auto Routes = std::make_shared<const RouteTable>(Settings);
+  const std::lock_guard Lock(m_Mutex);
+  m_Limits = Settings.m_Callers;
+  m_Routes = std::move(Routes);
+}
+
+void CallerServer::answer(kernel::Answer &Answer) {
+  OpenRequest Open;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    const auto Found = m_Requests.find(Answer.m_Request);
+    if (Found == m_Requests.end()) {
+      return;
+    }
+    Open = std::move(Found->second);
+    m_Requests.erase(Found);
+  }
+  m_Metrics.observeLatency(Open.m_Request->m_Kind, Answer.m_Outcome,
+                           SystemClock().now() - Open.m_Arrived);
+  const auto Id = Answer.m_Request;
+  Open.m_Connection->answer(Id, std::move(Answer));
+}
+
+CallerRequestPtr CallerServer::findRequest(RequestId Id) const {
+  const std::lock_guard Lock(m_Mutex);
+  const auto Found = m_Requests.find(Id);
+  return Found == m_Requests.end() ? nullptr : Found->second.m_Request;
+}
+
+void CallerServer::leave() { m_Leaving.store(true); }
+
+void CallerServer::close() {
+  m_Leaving.store(true);
+  m_Closed.store(true);
+  asio::post(m_Acceptor.get_executor(), [Self = shared_from_this()] {
+    ErrorCode Ignored;
+    Self->m_Acceptor.close(Ignored);
+    for (const auto &Connection : Self->connections()) {
+      Connection->closeIfIdle();
+    }
+  });
+}
+
+std::size_t CallerServer::connectionCount() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Connections.size();
+}
+
+std::shared_ptr<const RouteTable> CallerServer::routes() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Routes;
+}
+
+CallerLimits CallerServer::limits() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Limits;
+}
+
+RequestId CallerServer::submit(std::shared_ptr<CallerConnection> Connection,
+                               CallerRequestPtr Request) {
+  kernel::RequestArrived Arrived{.m_Service = Request->m_Service,
+                                 .m_Kind = Request->m_Kind,
+                                 .m_Key = Request->m_Key,
+                                 .m_KeyAge = Request->m_KeyAge};
+  {
+    const std::lock_guard Lock(m_Mutex);
+    Arrived.m_Request = static_cast<RequestId>(++m_LastRequest);
+    m_Requests[Arrived.m_Request] = {std::move(Connection), std::move(Request),
+                                     SystemClock().now()};
+  }
+  const auto Id = Arrived.m_Request;
+  m_Post(std::move(Arrived));
+  return Id;
+}
+
+void CallerServer::abandon(RequestId Id) {
+  {
+    const std::lock_guard Lock(m_Mutex);
+    if (m_Requests.erase(Id) == 0) {
+      return;
+    }
+  }
+  m_Post(kernel::CallerGone{Id});
+}
+
+void CallerServer::removeConnection(std::uint64_t Id) {
+  const std::lock_guard Lock(m_Mutex);
+  m_Connections.erase(Id);
+}
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/src/net/entry.cpp
@@ -0,0 +1,258 @@
+#include "vanillahill/net/entry.hpp"
+
+#include "vanillahill/net/detail/admin_server.hpp"
+#include "vanillahill/net/detail/backend_pool.hpp"
+#include "vanillahill/net/detail/caller_server.hpp"
+#include "vanillahill/net/detail/node_loop.hpp"
+#include "vanillahill/net/detail/platform_client.hpp"
+#include "vanillahill/net/detail/worker_pool.hpp"
+#include "vanillahill/observe/log.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <atomic>
+
+namespace vanillahill::net {
+
+namespace {
+
+/// How often a stopping process looks whether its callers have gone.
+constexpr std::chrono::milliseconds CloseCheckPeriod(10);
+/// Callers that have not closed their connections by then are cut.
+constexpr std::chrono::seconds CloseTimeout(3);
+
+kernel::NodeOptions nodeOptions(const EntryOptions &Options) {
+  const auto &Vm = Options.m_Vm;
+  const auto Fallback = Options.m_Incarnation ^ raw(idOf<VmId>(Vm.m_Name));
+  return {.m_Name = Vm.m_Name,
+          .m_Site = Vm.m_Site,
+          .m_DataCenter = Vm.m_DataCenter,
+          .m_PeerAddress = Vm.m_PeerAddress,
+          .m_Incarnation = Options.m_Incarnation,
+          .m_Seed = Vm.m_Seed != 0 ? Vm.m_Seed : Fallback,
+          .m_Settings = Options.m_Settings};
+}
+
+} // namespace
+
+struct Entry::State {
+  State(EntryOptions Given, std::unique_ptr<asio::io_context> Io, Acceptor Callers, Acceptor Admin);
+  ~State();
+
+  void start();
+  void run();
+  void requestStop();
+
+  // Actions of the kernel.
+  void execute(kernel::Action &Step);
+  void carryOut(kernel::Dispatch &Step);
+  void carryOut(kernel::CancelAttempt &Step) { m_Pool->cancel(Step.m_Attempt); }
+  void carryOut(kernel::Answer &Step) { m_Callers->answer(Step); }
+  void carryOut(kernel::SendPeer &Step);
+  void carryOut(kernel::ConnectPeers &Step);
+  void carryOut(kernel::AppendLog &Step) { m_Platform->append(std::move(Step.m_Data)); }
+  void carryOut(kernel::Probe &Step) { m_Pool->probe(Step.m_Server); }
+  void carryOut(kernel::SettingsChanged &Step);
+  void carryOut(kernel::Stopped &Step);
+
+  void applySettings();
+  void armTimer(TimePoint When);
+  void awaitSignal();
+  void awaitCallersGone(TimePoint Until);
+  void closeAll();
+  bool isReady() const;
+  observe::Gauges gauges() const;
+  AdminSources adminSources();
+
+  const EntryOptions m_Options;
+  observe::Metrics m_Metrics;
+  const std::unique_ptr<asio::io_context> m_OwnedIo;
+  asio::io_context &m_Io;
+  asio::executor_work_guard<asio::io_context::executor_type> m_Work;
+  asio::steady_timer m_Timer;
+  asio::steady_timer m_CloseTimer;
+  asio::signal_set m_Signals;
+  std::atomic<bool> m_Stopping = false;
+  NodeLoop m_Loop;
+  std::shared_ptr<CallerServer> m_Callers;
+  std::shared_ptr<BackendPool> m_Pool;
+  std::shared_ptr<PlatformClient> m_Platform;
+  std::shared_ptr<AdminServer> m_Admin;
+};
+
+Entry::State::State(EntryOptions Given, std::unique_ptr<asio::io_context> Io, Acceptor Callers,
+                    Acceptor Admin)
+    : m_Options(std::move(Given)), m_OwnedIo(std::move(Io)), m_Io(*m_OwnedIo),
+      m_Work(m_Io.get_executor()), m_Timer(m_Io), m_CloseTimer(m_Io), m_Signals(m_Io),
+      m_Loop(
+          nodeOptions(m_Options), [this](kernel::Action &Step) { execute(Step); },
+          [this](TimePoint When) { armTimer(When); }) {
+  const EventSink Post = [this](const kernel::Event &Input) { m_Loop.post(Input); };
+  m_Callers = std::make_shared<CallerServer>(m_Io, std::move(Callers), Post, m_Metrics);
+  m_Pool = std::make_shared<BackendPool>(m_Io, m_Options.m_Vm.m_Name, Post, m_Metrics);
+  m_Platform = std::make_shared<PlatformClient>(
+      m_Io,
+      PlatformOptions{.m_Address = m_Options.m_Vm.m_PlatformAddress,
+                      .m_Seed = nodeOptions(m_Options).m_Seed},
+      Post, m_Metrics);
+  m_Admin = std::make_shared<AdminServer>(m_Io, std::move(Admin), m_Options.m_Vm.m_AdminToken,
+                                          adminSources(), m_Metrics);
+}
+
+Entry::State::~State() {
+  closeAll();
+  // Handlers of closed sockets let go of what they hold.
+  m_Io.restart();
+  m_Io.poll();
+}
+
+AdminSources Entry::State::adminSources() {
+  return {.m_Status = [this] { return m_Loop.status(); },
+          .m_Gauges = [this] { return gauges(); },
+          .m_IsReady = [this] { return isReady(); }};
+}
+
+void Entry::State::start() {
+  // The first event puts given settings in force and lets the kernel arm its timer.
+  m_Loop.post(kernel::TimerFired{});
+  applySettings();
+  m_Callers->start();
+  m_Admin->start();
+  if (!m_Options.m_Settings) {
+    m_Platform->start();
+  }
+  if (m_Options.m_HandleSignals) {
+    m_Signals.add(SIGTERM);
+    m_Signals.add(SIGINT);
+    awaitSignal();
+  }
+}
+
+void Entry::State::run() {
+  observe::log(observe::LogLevel::Info, "started",
+               {{"vm", m_Options.m_Vm.m_Name},
+                {"caller_port", std::to_string(m_Callers->port())},
+                {"admin_port", std::to_string(m_Admin->port())}});
+  start();
+  runWorkers(m_Io, m_Options.m_Vm.m_Workers);
+  observe::log(observe::LogLevel::Info, "stopped", {{"vm", m_Options.m_Vm.m_Name}});
+}
+
+void Entry::State::awaitSignal() {
+  m_Signals.async_wait([this](ErrorCode Failure, int) {
+    if (!Failure) {
+      requestStop();
+      awaitSignal();
+    }
+  });
+}
+
+void Entry::State::requestStop() {
+  asio::post(m_Io, [this] {
+    if (m_Stopping.exchange(true)) {
+      return;
+    }
+    observe::log(observe::LogLevel::Info, "stop_requested", {{"vm", m_Options.m_Vm.m_Name}});
+    m_Callers->leave();
+    m_Loop.post(kernel::StopRequested{});
+  });
+}
+
+void Entry::State::execute(kernel::Action &Step) {
+  std::visit([this](auto &Typed) { carryOut(Typed); }, Step);
+}
+
+void Entry::State::carryOut(kernel::Dispatch &Step) {
+  m_Pool->dispatch(Step, m_Callers->findRequest(Step.m_Request));
+}
+
+void Entry::State::carryOut(kernel::SendPeer &) {}
+
+void Entry::State::carryOut(kernel::ConnectPeers &) {}
+
+void Entry::State::carryOut(kernel::SettingsChanged &) {
+  applySettings();
+  observe::log(observe::LogLevel::Info, "settings_in_force", {{"vm", m_Options.m_Vm.m_Name}});
+}
+
+void Entry::State::carryOut(kernel::Stopped &) {
+  m_Callers->close();
+  m_Platform->close();
+  asio::post(m_Io, [this] { awaitCallersGone(SystemClock().now() + CloseTimeout); });
+}
+
+void Entry::State::applySettings() {
+  const auto Settings = m_Loop.settings();
+  if (!Settings) {
+    return;
+  }
+  m_Metrics.nameKinds(*Settings);
+  m_Callers->applySettings(*Settings);
+  m_Pool->applySettings(*Settings);
+}
+
+void Entry::State::armTimer(TimePoint When) {
+  m_Timer.expires_at(When);
+  m_Timer.async_wait([this](ErrorCode Failure) {
+    if (!Failure) {
+      m_Loop.timerFired();
+    }
+  });
+}
+
+void Entry::State::awaitCallersGone(TimePoint Until) {
+  if (m_Callers->connectionCount() == 0 || SystemClock().now() >= Until) {
+    closeAll();
+    m_Io.stop();
+    return;
+  }
+  m_CloseTimer.expires_after(CloseCheckPeriod);
+  m_CloseTimer.async_wait([this, Until](ErrorCode Failure) {
+    if (!Failure) {
+      awaitCallersGone(Until);
+    }
+  });
+}
+
+void Entry::State::closeAll() {
+  m_Callers->close();
+  m_Platform->close();
+  m_Pool->close();
+  m_Admin->close();
+}
+
+bool Entry::State::isReady() const {
+  return !m_Stopping.load() && m_Loop.status().m_State == peer::VmState::Serving;
+}
+
+observe::Gauges Entry::State::gauges() const {
+  return {.m_CallerConnections = m_Callers->connectionCount(),
+          .m_BackendConnections = m_Pool->connectionCount()};
+}
+
+Entry::Entry(std::unique_ptr<State> Opened) : m_State(std::move(Opened)) {}
+Entry::~Entry() = default;
+
+Result<std::unique_ptr<Entry>> Entry::open(EntryOptions Options) {
+  auto Io = std::make_unique<asio::io_context>(static_cast<int>(Options.m_Vm.m_Workers));
+  auto Callers = listenOn(*Io, Options.m_Vm.m_CallerAddress);
+  if (!Callers) {
+    return Callers.error();
+  }
+  auto Admin = listenOn(*Io, Options.m_Vm.m_AdminAddress);
+  if (!Admin) {
+    return Admin.error();
+  }
+  auto Opened = std::make_unique<State>(std::move(Options), std::move(Io), std::move(*Callers),
+                                        std::move(*Admin));
+  return std::unique_ptr<Entry>(new Entry(std::move(Opened)));
+}
+
+void Entry::run() { m_State->run(); }
+void Entry::requestStop() { m_State->requestStop(); }
+std::uint16_t Entry::callerPort() const { return m_State->m_Callers->port(); }
+std::uint16_t Entry::adminPort() const { return m_State->m_Admin->port(); }
+kernel::NodeStatus Entry::status() const { return m_State->m_Loop.status(); }
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/src/net/platform_channel.cpp
@@ -0,0 +1,129 @@
+#include "vanillahill/net/detail/platform_channel.hpp"
+
+namespace vanillahill::net {
+
+namespace {
+
+constexpr unsigned HttpVersion = 11;
+constexpr std::uint64_t MaxAnswerBytes = 64U << 20U;
+
+} // namespace
+
+PlatformChannel::PlatformChannel(asio::io_context &Io, std::string Address)
+    : m_Address(std::move(Address)), m_Stream(asio::make_strand(Io)),
+      m_Timer(m_Stream.get_executor()) {}
+
+void PlatformChannel::request(PlatformRequest Request, Handler Done) {
+  asio::dispatch(m_Stream.get_executor(), [Self = shared_from_this(), Moved = std::move(Request),
+                                           Then = std::move(Done)]() mutable {
+    Self->m_Current = std::move(Moved);
+    Self->m_Done = std::move(Then);
+    Self->m_Stream.expires_after(Self->m_Current.m_Timeout);
+    if (Self->m_IsConnected) {
+      Self->send();
+    } else {
+      Self->connect();
+    }
+  });
+}
+
+void PlatformChannel::after(Duration Wait, std::function<void()> Then) {
+  asio::dispatch(m_Stream.get_executor(),
+                 [Self = shared_from_this(), Wait, Moved = std::move(Then)] {
+                   if (Self->m_IsClosed) {
+                     return;
+                   }
+                   Self->m_Timer.expires_after(Wait);
+                   Self->m_Timer.async_wait([Self, Moved](ErrorCode Failure) {
+                     if (!Failure) {
+                       Moved();
+                     }
+                   });
+                 });
+}
+
+void PlatformChannel::close() {
+  asio::post(m_Stream.get_executor(), [Self = shared_from_this()] {
+    Self->m_IsClosed = true;
+    Self->m_Timer.cancel();
+    Self->m_Stream.close();
+  });
+}
+
+void PlatformChannel::connect() {
+  const auto Where = parseEndpoint(m_Address);
+  if (!Where) {
+    finish(Where.error());
+    return;
+  }
+  m_Stream.async_connect(*Where, [Self = shared_from_this()](ErrorCode Failure) {
+    if (Failure) {
+      Self->end(Failure);
+      return;
+    }
+    Self->m_IsConnected = true;
+    Self->send();
+  });
+}
+
+void PlatformChannel::send() {
+  m_Request = http::request<http::string_body>(m_Current.m_Method, m_Current.m_Target, HttpVersion);
+  m_Request.set(http::field::host, m_Address);
+  m_Request.set(http::field::content_type, "application/json");
+  m_Request.body() = std::move(m_Current.m_Body);
+  m_Request.prepare_payload();
+  http::async_write(m_Stream, m_Request,
+                    [Self = shared_from_this()](ErrorCode Failure, std::size_t) {
+                      if (Failure) {
+                        Self->end(Failure);
+                        return;
+                      }
+                      Self->receive();
+                    });
+}
+
+void PlatformChannel::receive() {
+  m_Parser.emplace();
+  m_Parser->body_limit(MaxAnswerBytes);
+  http::async_read(
+      m_Stream, m_Buffer, *m_Parser,
+      [Self = shared_from_this()](ErrorCode Failure, std::size_t) { Self->end(Failure); });
+}
+
+void PlatformChannel::end(ErrorCode Failure) {
+  if (Failure) {
+    m_IsConnected = false;
+    m_Stream.close();
+    m_Buffer.clear();
+    finish(failure(Failure.message()));
+    return;
+  }
+  auto Message = m_Parser->release();
+  if (!Message.keep_alive()) {
+    m_IsConnected = false;
+    m_Stream.close();
+  }
+  if (Message.result() != http::status::ok) {
+    finish(failure("status " + std::to_string(Message.result_int())));
+    return;
+  }
+  finish(std::move(Message.body()));
+}
+
+void PlatformChannel::finish(Result<std::string> Outcome) {
+  if (m_IsClosed) {
+    return;
+  }
+  m_Stream.expires_never();
+  // The handler may ask for the next request at once.
+  const auto Done = std::move(m_Done);
+  m_Done = nullptr;
+  Done(std::move(Outcome));
+}
+
+Error PlatformChannel::failure(std::string Detail) const {
+  return {Errc::LogUnavailable, std::string(m_Request.method_string()) + " " + m_Current.m_Target,
+          m_Address, std::move(Detail)};
+}
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/src/net/platform_json.cpp
@@ -0,0 +1,60 @@
+#include "vanillahill/net/platform_json.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace vanillahill::net {
+
+namespace {
+
+using nlohmann::json;
+
+Error malformed(std::string_view What, std::string Detail) {
+  return {Errc::RecordMalformed, "read " + std::string(What), "platform", std::move(Detail)};
+}
+
+/// Runs a reader that raises nlohmann's exceptions and turns these into an Error.
+template <typename Value, typename Reader>
+Result<Value> readJson(std::string_view What, std::string_view Text, Reader Read) {
+  try {
+    return Read(json::parse(Text));
+  } catch (const json::exception &Raised) {
+    return malformed(What, Raised.what());
+  }
+}
+
+kernel::LogRecord readRecord(const json &From) {
+  return {.m_Offset = From.at("offset").get<std::uint64_t>(),
+          .m_Data = From.at("data").get<std::string>()};
+}
+
+kernel::VmEntry readVm(const json &From) {
+  return {.m_Name = From.at("name").get<std::string>(),
+          .m_PeerAddress = From.at("peer_address").get<std::string>(),
+          .m_DataCenter = From.at("data_center").get<std::string>(),
+          .m_Leaving = From.at("state").get<std::string>() == "leaving"};
+}
+
+} // namespace
+
+Result<kernel::LogRead> parseLogPage(std::string_view Text) {
+  return readJson<kernel::LogRead>("log page", Text, [](const json &Page) {
+    kernel::LogRead Read;
+    Read.m_Next = Page.at("next").get<std::uint64_t>();
+    for (const auto &Record : Page.at("records")) {
+      Read.m_Records.push_back(readRecord(Record));
+    }
+    return Read;
+  });
+}
+
+Result<kernel::VmListRead> parseVmList(std::string_view Text) {
+  return readJson<kernel::VmListRead>("VM list", Text, [](const json &List) {
+    kernel::VmListRead Read;
+    for (const auto &Vm : List.at("vms")) {
+      Read.m_Vms.push_back(readVm(Vm));
+    }
+    return Read;
+  });
+}
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/src/net/types.cpp
@@ -0,0 +1,72 @@
+#include "vanillahill/net/detail/types.hpp"
+
+#include <charconv>
+
+namespace vanillahill::net {
+
+namespace {
+
+Error unusable(std::string_view Step, std::string_view Text, std::string Detail) {
+  return {Errc::AddressUnusable, std::string(Step), std::string(Text), std::move(Detail)};
+}
+
+} // namespace
+
+Result<Tcp::endpoint> parseEndpoint(std::string_view Text) {
+  const auto Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos) {
+    return unusable("read address", Text, "expected IP:port");
+  }
+  auto Host = Text.substr(0, Colon);
+  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']') {
+    Host = Host.substr(1, Host.size() - 2);
+  }
+  std::uint16_t Port = 0;
+  const auto *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data() + Colon + 1, End, Port);
+  if (Parsed.ec != std::errc{} || Parsed.ptr != End) {
+    return unusable("read address", Text, "the port must be a number from 0 to 65535");
+  }
+  ErrorCode Failure;
+  const auto Address = asio::ip::make_address(std::string(Host), Failure);
+  if (Failure) {
+    return unusable("read address", Text, "the host must be an IP number");
+  }
+  return Tcp::endpoint(Address, Port);
+}
+
+Result<Acceptor> listenOn(asio::io_context &Io, std::string_view Address) {
+  const auto Where = parseEndpoint(Address);
+  if (!Where) {
+    return Where.error();
+  }
+  Acceptor Listener(asio::make_strand(Io));
+  ErrorCode Failure;
+  Listener.open(Where->protocol(), Failure);
+  if (!Failure) {
+    Listener.set_option(asio::socket_base::reuse_address(true), Failure);
+  }
+  if (!Failure) {
+    Listener.bind(*Where, Failure);
+  }
+  if (!Failure) {
+    Listener.listen(asio::socket_base::max_listen_connections, Failure);
+  }
+  if (Failure) {
+    return unusable("listen", Address, Failure.message());
+  }
+  return Result<Acceptor>(std::move(Listener));
+}
+
+void closeSocket(Socket &Stream) {
+  ErrorCode Ignored;
+  Stream.shutdown(Socket::shutdown_both, Ignored);
+  Stream.close(Ignored);
+}
+
+void setNoDelay(Socket &Stream) {
+  ErrorCode Ignored;
+  Stream.set_option(Tcp::no_delay(true), Ignored);
+}
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/src/observe/status_metrics.cpp
@@ -0,0 +1,184 @@
+#include "vanillahill/observe/detail/status_metrics.hpp"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+
+namespace vanillahill::observe {
+
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+using Labels = std::vector<ClientMetric::Label>;
+
+/// Builds one family of counters or gauges.
+class FamilyBuilder {
+public:
+  FamilyBuilder(const char *Name, const char *Help, MetricType Type) {
+    m_Family.name = Name;
+    m_Family.help = Help;
+    m_Family.type = Type;
+  }
+
+  void add(Labels Names, double Value) {
+    ClientMetric Metric;
+    Metric.label = std::move(Names);
+    Metric.counter.value = Value;
+    Metric.gauge.value = Value;
+    m_Family.metric.push_back(std::move(Metric));
+  }
+
+  void appendTo(Families &Out) {
+    if (!m_Family.metric.empty()) {
+      Out.push_back(std::move(m_Family));
+    }
+  }
+
+private:
+  MetricFamily m_Family;
+};
+
+void appendSingle(const char *Name, const char *Help, MetricType Type, double Value,
+                  Families &Out) {
+  FamilyBuilder Family(Name, Help, Type);
+  Family.add({}, Value);
+  Family.appendTo(Out);
+}
+
+void appendKinds(const kernel::NodeStatus &Status, Families &Out) {
+  FamilyBuilder Arrived("vanillahill_requests_total", "Requests that arrived whole",
+                        MetricType::Counter);
+  FamilyBuilder Completed("vanillahill_completed_total", "Requests answered by a backend server",
+                          MetricType::Counter);
+  for (const auto &Kind : Status.m_Kinds) {
+    Arrived.add({{"kind", Kind.m_Name}}, static_cast<double>(Kind.m_Arrived));
+    Completed.add({{"kind", Kind.m_Name}}, static_cast<double>(Kind.m_Completed));
+  }
+  Arrived.appendTo(Out);
+  Completed.appendTo(Out);
+}
+
+void appendReasons(const kernel::NodeStatus &Status, Families &Out) {
+  FamilyBuilder NotRun("vanillahill_refused_total", "Requests refused and not run",
+                       MetricType::Counter);
+  FamilyBuilder Unknown("vanillahill_unknown_total", "Requests whose outcome is not known",
+                        MetricType::Counter);
+  for (const auto &Kind : Status.m_Kinds) {
+    for (std::size_t Index = 1; Index < kernel::ReasonCount; ++Index) {
+      const std::string Why(toString(static_cast<kernel::Reason>(Index)));
+      const Labels Names{{"kind", Kind.m_Name}, {"reason", Why}};
+      NotRun.add(Names, static_cast<double>(Kind.m_NotRun[Index]));
+      Unknown.add(Names, static_cast<double>(Kind.m_Unknown[Index]));
+    }
+  }
+  NotRun.appendTo(Out);
+  Unknown.appendTo(Out);
+}
+
+void appendRetries(const kernel::NodeStatus &Status, Families &Out) {
+  FamilyBuilder Retries("vanillahill_retries_total", "Attempts that followed another one",
+                        MetricType::Counter);
+  for (const auto &Kind : Status.m_Kinds) {
+    for (std::size_t Index = 0; Index < kernel::RetryReasonCount; ++Index) {
+      const std::string Why(toString(static_cast<kernel::RetryReason>(Index)));
+      Retries.add({{"kind", Kind.m_Name}, {"reason", Why}},
+                  static_cast<double>(Kind.m_Retries[Index]));
+    }
+  }
+  Retries.appendTo(Out);
+}
+
+void appendServers(const kernel::NodeStatus &Status, Families &Out) {
+  FamilyBuilder InFlight("vanillahill_server_in_flight", "Attempts running at a backend server",
+                         MetricType::Gauge);
+  FamilyBuilder Ejected("vanillahill_server_ejected", "1 while a backend server is not used",
+                        MetricType::Gauge);
+  FamilyBuilder Leaving("vanillahill_server_leaving", "1 while a backend server is leaving",
+                        MetricType::Gauge);
+  FamilyBuilder Probes("vanillahill_server_measuring_requests_total",
+                       "Measuring requests to a backend server", MetricType::Counter);
+  for (const auto &Server : Status.m_Servers) {
+    const Labels Names{{"server", Server.m_Name}};
+    InFlight.add(Names, Server.m_InFlight);
+    Ejected.add(Names, Server.m_Ejected ? 1 : 0);
+    Leaving.add(Names, Server.m_Leaving ? 1 : 0);
+    Probes.add(Names, static_cast<double>(Server.m_Probes));
+  }
+  InFlight.appendTo(Out);
+  Ejected.appendTo(Out);
+  Leaving.appendTo(Out);
+  Probes.appendTo(Out);
+}
+
+void appendMembers(const kernel::NodeStatus &Status, Families &Out) {
+  FamilyBuilder Alive("vanillahill_member_alive", "1 while another VM answers heartbeats",
+                      MetricType::Gauge);
+  for (const auto &Member : Status.m_Members) {
+    Alive.add({{"vm", Member.m_Name}}, Member.m_Alive ? 1 : 0);
+  }
+  Alive.appendTo(Out);
+  FamilyBuilder Versions("vanillahill_configuration_version", "Version in force of a file",
+                         MetricType::Gauge);
+  for (const auto &File : Status.m_Versions) {
+    Versions.add({{"file", File.m_File}}, static_cast<double>(File.m_Version));
+  }
+  Versions.appendTo(Out);
+}
+
+double processorSeconds() {
+  constexpr double MicrosPerSecond = 1e6;
+  rusage Usage{};
+  getrusage(RUSAGE_SELF, &Usage);
+  const auto Seconds = Usage.ru_utime.tv_sec + Usage.ru_stime.tv_sec;
+  const auto Micros = Usage.ru_utime.tv_usec + Usage.ru_stime.tv_usec;
+  return static_cast<double>(Seconds) + static_cast<double>(Micros) / MicrosPerSecond;
+}
+
+double residentBytes() {
+  std::ifstream Pages("/proc/self/statm");
+  std::uint64_t Total = 0;
+  std::uint64_t Resident = 0;
+  Pages >> Total >> Resident;
+  return static_cast<double>(Resident) * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+void appendStatusMetrics(const kernel::NodeStatus &Status, Families &Out) {
+  appendKinds(Status, Out);
+  appendReasons(Status, Out);
+  appendRetries(Status, Out);
+  appendServers(Status, Out);
+  appendMembers(Status, Out);
+  appendSingle("vanillahill_lease_held", "1 while this VM holds a membership lease",
+               MetricType::Gauge, Status.m_HasLease ? 1 : 0, Out);
+  appendSingle("vanillahill_in_flight", "Requests with an attempt running", MetricType::Gauge,
+               static_cast<double>(Status.m_InFlight), Out);
+  appendSingle("vanillahill_queued", "Requests that wait for a slot", MetricType::Gauge,
+               static_cast<double>(Status.m_Queued), Out);
+  appendSingle("vanillahill_idempotency_keys", "Idempotency keys kept", MetricType::Gauge,
+               static_cast<double>(Status.m_Keys), Out);
+  appendSingle("vanillahill_peer_messages_total", "Messages sent to other VMs", MetricType::Counter,
+               static_cast<double>(Status.m_PeerMessagesSent), Out);
+}
+
+void appendProcessMetrics(const Gauges &Present, Families &Out) {
+  appendSingle("vanillahill_caller_connections", "Connections of callers", MetricType::Gauge,
+               static_cast<double>(Present.m_CallerConnections), Out);
+  appendSingle("vanillahill_backend_connections", "Connections to backend servers",
+               MetricType::Gauge, static_cast<double>(Present.m_BackendConnections), Out);
+  appendSingle("vanillahill_peer_sent_bytes_total", "Control bytes sent to other VMs",
+               MetricType::Counter, static_cast<double>(Present.m_PeerBytesSent), Out);
+  appendSingle("vanillahill_peer_received_bytes_total", "Control bytes received from other VMs",
+               MetricType::Counter, static_cast<double>(Present.m_PeerBytesReceived), Out);
+  appendSingle("process_cpu_seconds_total", "Processor time of this process", MetricType::Counter,
+               processorSeconds(), Out);
+  appendSingle("process_resident_memory_bytes", "Resident memory of this process",
+               MetricType::Gauge, residentBytes(), Out);
+}
+
+} // namespace vanillahill::observe
