--- a/include/vanillahill/peer/message.hpp
+++ b/include/vanillahill/peer/message.hpp
@@ -49,10 +49,10 @@
   std::vector<ServiceHint> m_Hints;
   /// Backend servers that this VM found failing.
   std::vector<ServerId> m_Avoid;
-  /// Backend servers that told this VM that they are leaving.
-  std::vector<ServerId> m_Leaving;
   /// Peers that this VM knows: a newcomer learns of them.
   std::vector<std::string> m_Known;
+  /// Backend servers that told this VM that they are leaving.
+  std::vector<ServerId> m_Leaving;
 };
 
 struct HeartbeatAck {
@@ -115,6 +115,10 @@
   KeyState m_State = KeyState::Unknown;
   /// Set for Answered.
   ReplyPtr m_Reply;
+  /// Start of the process that answers: one started anew has forgotten the keys of the earlier.
+  std::uint64_t m_Incarnation = 0;
+  /// VMs that the answering VM would itself ask, and itself: the asker must know them all.
+  std::vector<VmId> m_Members;
 };
 
 /// One configuration record as it stands in the log.
