--- /dev/null
+++ b/scripts/sanitize-threads.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs the tests of the concurrent parts that do not use oneTBB under the thread sanitizer: oneTBB
+# comes built without it, so that its own synchronisation would be reported as races.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Tests=(unit-peer-link)
+cmake -S . -B build-tsan -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+  -DVANILLAHILL_SANITIZE=thread >/dev/null
+cmake --build build-tsan --target "${Tests[@]}"
+Pattern="$(IFS='|'; echo "^(${Tests[*]})\$")"
+TSAN_OPTIONS="halt_on_error=1" ctest --test-dir build-tsan -R "$Pattern" --output-on-failure \
+  --no-tests=error --repeat until-fail:10
