Entry: links to the other VMs plugged in

Cause: the entry process dropped SendPeer and ConnectPeers. Change: it owns peer::PeerLinks, hands messages to the kernel and shows the links' bytes in its metrics; an unusable peer address is an error of open().

--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -7,6 +7,7 @@
 #include "vanillahill/net/detail/platform_client.hpp"
 #include "vanillahill/net/detail/worker_pool.hpp"
 #include "vanillahill/observe/log.hpp"
+#include "vanillahill/peer/link.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -49,8 +50,8 @@
   void carryOut(kernel::Dispatch &Step);
   void carryOut(kernel::CancelAttempt &Step) { m_Pool->cancel(Step.m_Attempt); }
   void carryOut(kernel::Answer &Step) { m_Callers->answer(Step); }
-  void carryOut(kernel::SendPeer &Step);
-  void carryOut(kernel::ConnectPeers &Step);
+  void carryOut(kernel::SendPeer &Step) { m_Links->send(Step.m_To, std::move(Step.m_Message)); }
+  void carryOut(kernel::ConnectPeers &Step) { m_Links->connect(Step.m_Vms); }
   void carryOut(kernel::AppendLog &Step) { m_Platform->append(std::move(Step.m_Data)); }
   void carryOut(kernel::Probe &Step) { m_Pool->probe(Step.m_Server); }
   void carryOut(kernel::SettingsChanged &Step);
@@ -64,6 +65,7 @@
   bool isReady() const;
   observe::Gauges gauges() const;
   AdminSources adminSources();
+  peer::PeerLinksOptions linkOptions();
 
   const EntryOptions m_Options;
   observe::Metrics m_Metrics;
@@ -79,6 +81,7 @@
   std::shared_ptr<BackendPool> m_Pool;
   std::shared_ptr<PlatformClient> m_Platform;
   std::shared_ptr<AdminServer> m_Admin;
+  std::unique_ptr<peer::PeerLinks> m_Links;
 };
 
 Entry::State::State(EntryOptions Given, std::unique_ptr<asio::io_context> Io, Acceptor Callers,
@@ -98,6 +101,24 @@
       Post, m_Metrics);
   m_Admin = std::make_shared<AdminServer>(m_Io, std::move(Admin), m_Options.m_Vm.m_AdminToken,
                                           adminSources(), m_Metrics);
+  m_Links = std::make_unique<peer::PeerLinks>(m_Io, linkOptions());
+}
+
+peer::PeerLinksOptions Entry::State::linkOptions() {
+  const VmSettings &Vm = m_Options.m_Vm;
+  return {.m_SelfName = Vm.m_Name,
+          .m_PeerAddress = Vm.m_PeerAddress,
+          .m_PeerToken = Vm.m_PeerToken,
+          .m_OnMessage =
+              [this](VmId From, peer::Message Value) {
+                m_Loop.post(kernel::PeerReceived{.m_From = From, .m_Message = std::move(Value)});
+              },
+          .m_OnProblem =
+              [](const Error &Problem) {
+                observe::log(observe::LogLevel::Warning, "peer_link",
+                             {{"peer", Problem.m_Peer}, {"problem", toString(Problem)}});
+              },
+          .m_Seed = nodeOptions(m_Options).m_Seed};
 }
 
 Entry::State::~State() {
@@ -167,10 +188,6 @@
   m_Pool->dispatch(Step, m_Callers->findRequest(Step.m_Request));
 }
 
-void Entry::State::carryOut(kernel::SendPeer &) {}
-
-void Entry::State::carryOut(kernel::ConnectPeers &) {}
-
 void Entry::State::carryOut(kernel::SettingsChanged &) {
   applySettings();
   observe::log(observe::LogLevel::Info, "settings_in_force", {{"vm", m_Options.m_Vm.m_Name}});
@@ -220,6 +237,7 @@
   m_Platform->close();
   m_Pool->close();
   m_Admin->close();
+  m_Links->stop();
 }
 
 bool Entry::State::isReady() const {
@@ -228,7 +246,9 @@
 
 observe::Gauges Entry::State::gauges() const {
   return {.m_CallerConnections = m_Callers->connectionCount(),
-          .m_BackendConnections = m_Pool->connectionCount()};
+          .m_BackendConnections = m_Pool->connectionCount(),
+          .m_PeerBytesSent = m_Links->counters().m_BytesOut,
+          .m_PeerBytesReceived = m_Links->counters().m_BytesIn};
 }
 
 Entry::Entry(std::unique_ptr<State> Opened) : m_State(std::move(Opened)) {}
@@ -244,9 +264,14 @@
   if (!Admin) {
     return Admin.error();
   }
-  auto Opened = std::make_unique<State>(std::move(Options), std::move(Io), std::move(*Callers),
-                                        std::move(*Admin));
-  return std::unique_ptr<Entry>(new Entry(std::move(Opened)));
+  const std::string PeerAddress = Options.m_Vm.m_PeerAddress;
+  try {
+    auto Opened = std::make_unique<State>(std::move(Options), std::move(Io), std::move(*Callers),
+                                          std::move(*Admin));
+    return std::unique_ptr<Entry>(new Entry(std::move(Opened)));
+  } catch (const std::system_error &Raised) {
+    return Error{Raised.code(), "listen for peers", PeerAddress, Raised.what()};
+  }
 }
 
 void Entry::run() { m_State->run(); }
