Add vanillahill-load: open-loop load on entry VMs

Ruled out: Boost.Accumulators for quantiles (p99.9 of its estimators is not bounded; log-linear buckets are within 1.6 in 100 and can be merged).

--- /dev/null
+++ b/src/load/result.cpp
@@ -0,0 +1,65 @@
+#include "vanillahill/load/result.hpp"
+
+namespace vanillahill::load {
+
+double LoadResult::weightedInTime() const {
+  double Sum = 0;
+  for (const KindResult &Kind : m_Kinds) {
+    Sum += Kind.m_Kind.m_Weight * static_cast<double>(Kind.m_InTime);
+  }
+  return Sum;
+}
+
+double LoadResult::weightedSent() const {
+  double Sum = 0;
+  for (const KindResult &Kind : m_Kinds) {
+    Sum += Kind.m_Kind.m_Weight * static_cast<double>(Kind.m_Sent);
+  }
+  return Sum;
+}
+
+std::uint64_t LoadResult::sent() const {
+  std::uint64_t Sum = 0;
+  for (const KindResult &Kind : m_Kinds) {
+    Sum += Kind.m_Sent;
+  }
+  return Sum;
+}
+
+std::uint64_t LoadResult::completed() const {
+  std::uint64_t Sum = 0;
+  for (const KindResult &Kind : m_Kinds) {
+    Sum += Kind.m_Completed;
+  }
+  return Sum;
+}
+
+void count(KindResult &Kind, const EndedOperation &Ended) {
+  ++Kind.m_Sent;
+  Kind.m_Repeats += Ended.m_Repeats;
+  if (!Ended.m_Reason.empty() && Ended.m_Reason != "none") {
+    ++Kind.m_Reasons[Ended.m_Reason];
+  }
+  switch (Ended.m_Ending) {
+  case Ending::Completed:
+    ++Kind.m_Completed;
+    Kind.m_InTime += Ended.m_Latency <= Kind.m_Kind.m_Deadline ? 1 : 0;
+    Kind.m_Latency.add(Ended.m_Latency + Ended.m_Way);
+    return;
+  case Ending::Failed:
+    ++Kind.m_Failed;
+    return;
+  case Ending::NotRun:
+    ++Kind.m_NotRun;
+    Kind.m_RefusalLatency.add(Ended.m_Latency + Ended.m_Way);
+    return;
+  case Ending::Unknown:
+    ++Kind.m_Unknown;
+    return;
+  case Ending::Cut:
+    ++Kind.m_Cut;
+    return;
+  }
+}
+
+} // namespace vanillahill::load
