--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -26,24 +26,39 @@
   m_Peer = idOf<VmId>(m_PeerName);
 }
 
-void Connection::startConnecting(const Tcp::endpoint &To, Duration Delay, PeerIdentity Self,
-                                 std::string PeerName) {
+void Connection::startConnecting(Route Way, PeerIdentity Self, std::string PeerName) {
   setPeer(std::move(PeerName));
+  m_Route = std::move(Way);
   m_Self = std::move(Self);
-  boost::asio::post(m_Socket.get_executor(), [Me = shared_from_this(), To, Delay] {
-    Me->m_Timer.expires_after(Delay);
-    Me->m_Timer.async_wait([Me, To](const ErrorCode &Code) {
+  boost::asio::post(m_Socket.get_executor(), [Me = shared_from_this()] {
+    Me->m_Timer.expires_after(Me->m_Route.m_Delay);
+    Me->m_Timer.async_wait([Me](const ErrorCode &Code) {
       if (!Code && !Me->m_Closed) {
-        Me->connectNow(To);
+        Me->connectNow();
       }
     });
   });
 }
 
-void Connection::connectNow(const Tcp::endpoint &To) {
+void Connection::connectNow() {
   startTimer(m_Limits.m_ConnectTimeout);
-  m_Socket.async_connect(
-      To, [Me = shared_from_this()](const ErrorCode &Code) { Me->onConnected(Code); });
+  const ErrorCode Code = m_Route.m_From ? leaveFrom(*m_Route.m_From) : ErrorCode();
+  if (Code) {
+    fail(Errc::PeerConnectionLost, "bind for peer", Code.message());
+    return;
+  }
+  m_Socket.async_connect(m_Route.m_To, [Me = shared_from_this()](const ErrorCode &Result) {
+    Me->onConnected(Result);
+  });
+}
+
+Connection::ErrorCode Connection::leaveFrom(const boost::asio::ip::address &From) {
+  ErrorCode Code;
+  m_Socket.open(m_Route.m_To.protocol(), Code);
+  if (!Code) {
+    m_Socket.bind({From, 0}, Code);
+  }
+  return Code;
 }
 
 void Connection::onConnected(const ErrorCode &Code) {
--- a/src/peer/connection.hpp
+++ b/src/peer/connection.hpp
@@ -58,6 +58,14 @@
   Duration m_IdleTimeout{};
 };
 
+/// Where a connection goes and when it starts.
+struct Route {
+  boost::asio::ip::tcp::endpoint m_To;
+  /// Address that it leaves from; any when not set.
+  std::optional<boost::asio::ip::address> m_From;
+  Duration m_Delay{};
+};
+
 /// All work runs on the strand that is the socket's executor; the public functions may be called
 /// by any worker.
 class Connection : public std::enable_shared_from_this<Connection> {
@@ -68,8 +76,7 @@
              std::shared_ptr<SharedCounters> Counters, ConnectionLimits Limits);
 
   /// \brief Connects after a delay and opens the stream.
-  void startConnecting(const Tcp::endpoint &To, Duration Delay, PeerIdentity Self,
-                       std::string PeerName);
+  void startConnecting(Route Way, PeerIdentity Self, std::string PeerName);
   /// \brief Serves a connection that was accepted.
   void startAccepted();
 
@@ -91,7 +98,8 @@
 private:
   using ErrorCode = boost::system::error_code;
 
-  void connectNow(const Tcp::endpoint &To);
+  void connectNow();
+  ErrorCode leaveFrom(const boost::asio::ip::address &From);
   void onConnected(const ErrorCode &Code);
   void startSession(H2Session Session);
   void startTimer(Duration Wait);
@@ -119,6 +127,7 @@
   std::shared_ptr<ConnectionOwner> m_Owner;
   std::shared_ptr<SharedCounters> m_Counters;
   ConnectionLimits m_Limits;
+  Route m_Route;
   PeerIdentity m_Self;
   std::string m_PeerName = "unknown";
   VmId m_Peer{};
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -1,15 +1,14 @@
 #include "vanillahill/peer/link.hpp"
 
 #include "connection.hpp"
+#include "endpoint.hpp"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
-#include <charconv>
 #include <map>
 #include <random>
 #include <set>
@@ -30,27 +29,6 @@
 /// Doublings of the backoff after which it stays the same.
 constexpr unsigned MaxBackoffDoublings = 16;
 
-std::optional<Tcp::endpoint> parseAddress(std::string_view Text) {
-  const std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos) {
-    return std::nullopt;
-  }
-  std::string Host(Text.substr(0, Colon));
-  if (Host.starts_with('[') && Host.ends_with(']')) {
-    Host = Host.substr(1, Host.size() - 2);
-  }
-  const std::string_view PortText = Text.substr(Colon + 1);
-  std::uint16_t Port = 0;
-  const auto [End, Problem] =
-      std::from_chars(PortText.data(), PortText.data() + PortText.size(), Port);
-  ErrorCode Code;
-  const auto Address = boost::asio::ip::make_address(Host, Code);
-  if (Code || Problem != std::errc() || End != PortText.data() + PortText.size()) {
-    return std::nullopt;
-  }
-  return Tcp::endpoint(Address, Port);
-}
-
 /// Compares in a time that does not depend on where two tokens of one length differ.
 bool sameToken(std::string_view Left, std::string_view Right) {
   if (Left.size() != Right.size()) {
@@ -114,6 +92,8 @@
   boost::asio::steady_timer m_AcceptTimer;
   boost::asio::steady_timer m_AckTimer;
   std::uint16_t m_Port = 0;
+  /// Connections leave from the address that is listened on, so that peers see it.
+  std::optional<boost::asio::ip::address> m_LocalAddress;
 
   mutable std::mutex m_Lock;
   std::atomic<bool> m_Stopped = false;
@@ -130,24 +110,15 @@
 }
 
 void PeerLinks::State::listen() {
-  const auto Fail = [this](const std::string &Detail) {
+  const std::optional<Tcp::endpoint> Address = parseEndpoint(m_Options.m_PeerAddress);
+  const ErrorCode Code =
+      Address ? listenOn(m_Acceptor, *Address) : ErrorCode(boost::asio::error::invalid_argument);
+  if (Code) {
     throw_exception_from_error(
-        {Errc::AddressUnusable, "listen for peers", m_Options.m_PeerAddress, Detail}, {});
-  };
-  const std::optional<Tcp::endpoint> Address = parseAddress(m_Options.m_PeerAddress);
-  if (!Address) {
-    Fail("expected IP:port");
-    return;
-  }
-  ErrorCode Code;
-  m_Acceptor.open(Address->protocol());
-  m_Acceptor.set_option(Tcp::acceptor::reuse_address(true), Code);
-  m_Acceptor.bind(*Address, Code);
-  if (!Code) {
-    m_Acceptor.listen(Tcp::acceptor::max_listen_connections, Code);
+        {Errc::AddressUnusable, "listen for peers", m_Options.m_PeerAddress, Code.message()}, {});
   }
-  if (Code) {
-    Fail(Code.message());
+  if (!Address->address().is_unspecified()) {
+    m_LocalAddress = Address->address();
   }
   m_Port = m_Acceptor.local_endpoint().port();
 }
@@ -235,7 +206,7 @@
 void PeerLinks::State::connect(std::span<const kernel::VmEntry> Vms) {
   std::vector<std::pair<const kernel::VmEntry *, Tcp::endpoint>> Wanted;
   for (const kernel::VmEntry &Vm : Vms) {
-    const std::optional<Tcp::endpoint> Address = parseAddress(Vm.m_PeerAddress);
+    const std::optional<Tcp::endpoint> Address = parseEndpoint(Vm.m_PeerAddress);
     if (!Address) {
       onProblem({Errc::AddressUnusable, "connect to peer", Vm.m_Name,
                  fmt::format("address \"{}\", expected IP:port", Vm.m_PeerAddress)});
@@ -293,8 +264,8 @@
   const Duration Delay =
       Value.m_EverOpen || Value.m_Failures > 0 ? backoff(Value.m_Failures) : Duration::zero();
   Value.m_Connection->startConnecting(
-      Value.m_Address, Delay, {.m_Name = m_Options.m_SelfName, .m_Token = m_Options.m_PeerToken},
-      Value.m_Name);
+      {.m_To = Value.m_Address, .m_From = m_LocalAddress, .m_Delay = Delay},
+      {.m_Name = m_Options.m_SelfName, .m_Token = m_Options.m_PeerToken}, Value.m_Name);
 }
 
 Duration PeerLinks::State::backoff(unsigned Failures) {
