--- a/include/vanillahill/net/detail/backend_exchange.hpp
+++ b/include/vanillahill/net/detail/backend_exchange.hpp
@@ -37,6 +37,9 @@
 /// \brief Whether a reply carries the id of this exchange.
 bool belongsTo(const HttpReply &Message, const BackendExchange &Exchange);
 
+/// \brief Whether the status ends an exchange: neither informational nor outside of HTTP's range.
+bool hasFinalStatus(const HttpReply &Message);
+
 /// \brief Whether the end of a reply is told by its own length, so that a cut is noticed.
 bool hasLength(const HttpReply &Message);
 
--- a/include/vanillahill/net/detail/backend_pool.hpp
+++ b/include/vanillahill/net/detail/backend_pool.hpp
@@ -63,6 +63,8 @@
     std::size_t m_Bound = 1;
     /// Still in the settings.
     bool m_IsListed = true;
+    /// Its connections are not kept, so that it can stop.
+    bool m_IsLeaving = false;
     std::vector<BackendConnectionPtr> m_Idle;
     /// Exchange ids in the order in which they get connections.
     std::deque<std::uint64_t> m_Waiting;
@@ -85,6 +87,7 @@
   void matchWaiting(Server &Target, Work &Out);
   void openConnections(ServerId Id, Server &Target, std::size_t Spare, Work &Out);
   void applyServer(const ServerSettings &Settings, std::size_t MaxVms, Work &Out);
+  static void closeIdle(Server &Target, Work &Out);
   void dropUnlisted(const std::set<ServerId> &Listed, Work &Out);
   void carryOut(Work &&Steps);
 
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -122,8 +122,7 @@
 
 void BackendConnection::onReply() {
   auto Message = m_Reader.take();
-  const bool IsFinal = http::to_status_class(Message.result()) != http::status_class::informational;
-  if (!IsFinal || !hasLength(Message)) {
+  if (!hasFinalStatus(Message) || !hasLength(Message)) {
     fail(observe::ReplyFault::Malformed);
     return;
   }
--- a/src/net/backend_exchange.cpp
+++ b/src/net/backend_exchange.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr unsigned HttpVersion = 11;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastStatus = 599;
 constexpr std::string_view HealthPath = "/vh/health";
 constexpr std::string_view ExchangeHeader = "VH-Exchange";
 
@@ -39,6 +41,11 @@
          Message[ExchangeHeader] == std::to_string(Exchange.m_Id);
 }
 
+bool hasFinalStatus(const HttpReply &Message) {
+  // By number, since Beast does not know the names of all statuses.
+  return Message.result_int() >= FirstFinalStatus && Message.result_int() <= LastStatus;
+}
+
 bool hasLength(const HttpReply &Message) {
   return Message.chunked() || Message.count(http::field::content_length) == 1 ||
          hasNoBody(Message.result());
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -48,24 +48,30 @@
     }
     Target.m_Address = Settings.m_Address;
     Target.m_Endpoint = *Where;
-    std::move(Target.m_Idle.begin(), Target.m_Idle.end(), std::back_inserter(Out.m_Close));
-    Target.m_Idle.clear();
+    closeIdle(Target, Out);
   }
   Target.m_IsListed = true;
   Target.m_Bound = std::max<std::size_t>(Settings.m_MaxConnections / MaxVms, 1);
-  if (!Settings.m_Leaving) {
+  Target.m_IsLeaving = Settings.m_Leaving;
+  if (Target.m_IsLeaving) {
+    closeIdle(Target, Out);
+  } else {
     openConnections(Settings.m_Id, Target, SpareConnections, Out);
   }
 }
 
+void BackendPool::closeIdle(Server &Target, Work &Out) {
+  std::move(Target.m_Idle.begin(), Target.m_Idle.end(), std::back_inserter(Out.m_Close));
+  Target.m_Idle.clear();
+}
+
 void BackendPool::dropUnlisted(const std::set<ServerId> &Listed, Work &Out) {
   for (auto &[Id, Target] : m_Servers) {
     if (Listed.contains(Id)) {
       continue;
     }
     Target.m_IsListed = false;
-    std::move(Target.m_Idle.begin(), Target.m_Idle.end(), std::back_inserter(Out.m_Close));
-    Target.m_Idle.clear();
+    closeIdle(Target, Out);
   }
 }
 
@@ -165,10 +171,8 @@
 }
 
 void BackendPool::openConnections(ServerId Id, Server &Target, std::size_t Spare, Work &Out) {
-  if (m_Closed && Target.m_Waiting.empty()) {
-    return;
-  }
-  const auto Wanted = Target.m_Waiting.size() + Spare;
+  const bool IsEnding = m_Closed || Target.m_IsLeaving;
+  const auto Wanted = Target.m_Waiting.size() + (IsEnding ? 0 : Spare);
   while (Target.m_Connecting + Target.m_Idle.size() < Wanted && Target.m_Open < Target.m_Bound) {
     ++Target.m_Connecting;
     ++Target.m_Open;
@@ -191,7 +195,8 @@
   {
     const std::lock_guard Lock(m_Mutex);
     auto &Target = m_Servers[Connection->server()];
-    const bool Keep = Target.m_IsListed && !(m_Closed && Target.m_Waiting.empty());
+    const bool IsEnding = m_Closed || Target.m_IsLeaving;
+    const bool Keep = Target.m_IsListed && !(IsEnding && Target.m_Waiting.empty());
     if (Keep) {
       Target.m_Idle.push_back(Connection);
       matchWaiting(Target, Steps);
@@ -254,8 +259,7 @@
     const std::lock_guard Lock(m_Mutex);
     m_Closed = true;
     for (auto &[Id, Target] : m_Servers) {
-      std::move(Target.m_Idle.begin(), Target.m_Idle.end(), std::back_inserter(Steps.m_Close));
-      Target.m_Idle.clear();
+      closeIdle(Target, Steps);
     }
   }
   carryOut(std::move(Steps));
--- a/tests/net_fakes.hpp
+++ b/tests/net_fakes.hpp
@@ -193,24 +193,25 @@
     Options.m_Vm.m_PlatformAddress = "127.0.0.1:1";
     Options.m_Vm.m_AdminToken = "secret-token";
     Options.m_Vm.m_Seed = 1;
+    Options.m_HandleSignals = true;
     Options.m_Settings = std::make_shared<const SiteSettings>(std::move(Site));
     m_Entry = Entry::open(Options).value();
     m_Thread = std::thread([this] { m_Entry->run(); });
   }
 
-  ~RunningEntry() { stop(); }
-  RunningEntry(const RunningEntry &) = delete;
-  RunningEntry &operator=(const RunningEntry &) = delete;
-
-  Entry *operator->() { return m_Entry.get(); }
-
-  /// Stops gracefully and waits for the end.
-  void stop() {
+  ~RunningEntry() {
     if (m_Thread.joinable()) {
       m_Entry->requestStop();
       m_Thread.join();
     }
   }
+  RunningEntry(const RunningEntry &) = delete;
+  RunningEntry &operator=(const RunningEntry &) = delete;
+
+  Entry *operator->() { return m_Entry.get(); }
+
+  /// Waits until the entry has stopped by itself.
+  void awaitStopped() { m_Thread.join(); }
 
   /// One page of the admin address.
   CallerReply admin(std::string_view Path, std::string_view Token = "secret-token") {
--- /dev/null
+++ b/tests/unit-backend-pool.cpp
@@ -0,0 +1,280 @@
+#include "event_inbox.hpp"
+#include "net_fakes.hpp"
+
+#include "vanillahill/net/detail/backend_pool.hpp"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace vanillahill::net::fakes {
+namespace {
+
+using kernel::AttemptEnded;
+using kernel::AttemptResult;
+
+constexpr std::chrono::seconds LongDeadline(30);
+const ServerId FirstServer = idOf<ServerId>("desk/s1");
+
+/// A pool towards the servers of deskSettings().
+class PoolTest : public testing::Test {
+protected:
+  void use(const SiteSettings &Site) { m_Pool->applySettings(Site); }
+
+  void dispatch(std::uint64_t Attempt, Duration Deadline = LongDeadline) {
+    auto Request = std::make_shared<CallerRequest>();
+    Request->m_Message = {http::verb::post, "/desk/post/" + std::to_string(Attempt), 11};
+    Request->m_Message.body() = "body";
+    Request->m_Message.prepare_payload();
+    m_Pool->dispatch({.m_Attempt = static_cast<AttemptId>(Attempt),
+                      .m_Server = FirstServer,
+                      .m_Deadline = SystemClock().now() + Deadline},
+                     std::move(Request));
+  }
+
+  AttemptEnded ended() { return m_Inbox.next<AttemptEnded>(); }
+
+  /// Dispatches and waits for the end.
+  AttemptEnded run(std::uint64_t Attempt) {
+    dispatch(Attempt);
+    return ended();
+  }
+
+  ~PoolTest() override {
+    m_Pool->close();
+    m_Io.stop();
+  }
+
+  observe::Metrics m_Metrics;
+  EventInbox m_Inbox;
+  IoThread m_Io;
+  std::shared_ptr<BackendPool> m_Pool =
+      std::make_shared<BackendPool>(m_Io.io(), "e1", m_Inbox.sink(), m_Metrics);
+};
+
+std::string echoPath(const BackendRequest &Request) {
+  return Backend::reply(Request, std::string(Request.target()));
+}
+
+TEST_F(PoolTest, GivesEachAttemptItsOwnReplyOnOneWarmConnection) {
+  Backend Server(echoPath);
+  auto Site = deskSettings({Server.port()});
+  Site.m_Services[0].m_Servers[0].m_MaxConnections = 1;
+  use(Site);
+  for (std::uint64_t Attempt = 1; Attempt <= 20; ++Attempt) {
+    const auto End = run(Attempt);
+    ASSERT_EQ(End.m_Result, AttemptResult::Completed);
+    EXPECT_EQ(End.m_Reply->m_Body, "/desk/post/" + std::to_string(Attempt));
+  }
+  EXPECT_EQ(Server.accepted(), 1);
+}
+
+TEST_F(PoolTest, TellsTheServerTheTimeLeftTheExchangeAndTheVm) {
+  std::promise<BackendRequest> Seen;
+  Backend Server([&Seen](const BackendRequest &Request) {
+    Seen.set_value(Request);
+    return Backend::reply(Request, "");
+  });
+  use(deskSettings({Server.port()}));
+  EXPECT_EQ(run(7).m_Result, AttemptResult::Completed);
+  const auto Request = Seen.get_future().get();
+  EXPECT_EQ(Request["VH-Exchange"], "7");
+  EXPECT_EQ(Request["VH-Vm"], "e1");
+  EXPECT_LE(std::stoi(std::string(Request["VH-Deadline-Ms"])), toMillis(LongDeadline));
+  EXPECT_EQ(Request.body(), "body");
+}
+
+struct FaultyReply {
+  const char *m_Name;
+  Backend::Script m_Script;
+};
+
+const FaultyReply FaultyReplies[] = {
+    {"cut",
+     [](const BackendRequest &Request) {
+       return "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 100\r\nVH-Exchange: " +
+              std::string(Request["VH-Exchange"]) + "\r\n\r\nshort";
+     }},
+    {"no reply", [](const BackendRequest &) { return std::string(); }},
+    {"other exchange",
+     [](const BackendRequest &) {
+       return std::string("HTTP/1.1 200 OK\r\nVH-Exchange: 999\r\nContent-Length: 2\r\n\r\nok");
+     }},
+    {"no exchange",
+     [](const BackendRequest &) {
+       return std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+     }},
+    {"no length",
+     [](const BackendRequest &Request) {
+       return "HTTP/1.1 200 OK\r\nVH-Exchange: " + std::string(Request["VH-Exchange"]) +
+              "\r\n\r\nok";
+     }},
+    {"left over",
+     [](const BackendRequest &Request) {
+       return Backend::reply(Request, "one") + Backend::reply(Request, "two");
+     }},
+    {"two lengths",
+     [](const BackendRequest &Request) {
+       return Backend::reply(Request, "ok", "Content-Length: 1\r\n");
+     }},
+    {"informational",
+     [](const BackendRequest &Request) {
+       return Backend::reply(Request, "", "", "103 Early Hints");
+     }},
+    {"not HTTP", [](const BackendRequest &) { return std::string("ok\r\n\r\n"); }},
+};
+
+/// Ends the connection of a reply that lies about its length, so that the cut is seen.
+Backend::Script cutting(const Backend::Script &Inner) {
+  auto Calls = std::make_shared<std::atomic<int>>(0);
+  return [Inner, Calls](const BackendRequest &Request) {
+    return Calls->fetch_add(1) == 0 ? Inner(Request) : echoPath(Request);
+  };
+}
+
+TEST_F(PoolTest, NeverPassesAFaultyReplyOnAndNeverUsesItsConnectionAgain) {
+  for (const auto &Case : FaultyReplies) {
+    SCOPED_TRACE(Case.m_Name);
+    Backend Server(cutting(Case.m_Script));
+    auto Site = deskSettings({Server.port()});
+    Site.m_Services[0].m_Servers[0].m_MaxConnections = 1;
+    use(Site);
+    dispatch(1, std::chrono::milliseconds(200));
+    EXPECT_EQ(ended().m_Result, AttemptResult::Unknown);
+    const auto Next = run(2);
+    EXPECT_EQ(Next.m_Result, AttemptResult::Completed);
+    EXPECT_EQ(Next.m_Reply->m_Body, "/desk/post/2");
+    EXPECT_EQ(Server.accepted(), 2);
+    use(deskSettings({}));
+  }
+}
+
+TEST_F(PoolTest, ALateReplyReachesNobody) {
+  std::promise<void> Release;
+  auto Released = Release.get_future().share();
+  Backend Server([Released](const BackendRequest &Request) {
+    if (Request["VH-Exchange"] == "1") {
+      Released.wait();
+    }
+    return echoPath(Request);
+  });
+  use(deskSettings({Server.port()}));
+  dispatch(1, std::chrono::milliseconds(30));
+  EXPECT_EQ(ended().m_Result, AttemptResult::Unknown);
+  Release.set_value();
+  const auto Next = run(2);
+  EXPECT_EQ(Next.m_Reply->m_Body, "/desk/post/2");
+  EXPECT_EQ(m_Inbox.size(), 0U);
+}
+
+TEST_F(PoolTest, SwappedRepliesReachNobody) {
+  Backend Server([](const BackendRequest &Request) {
+    auto Swapped = Request;
+    Swapped.set("VH-Exchange", Request["VH-Exchange"] == "1" ? "2" : "1");
+    return Backend::reply(Swapped, "swapped");
+  });
+  use(deskSettings({Server.port()}));
+  dispatch(1);
+  dispatch(2);
+  EXPECT_EQ(ended().m_Result, AttemptResult::Unknown);
+  EXPECT_EQ(ended().m_Result, AttemptResult::Unknown);
+}
+
+TEST_F(PoolTest, ACancelledAttemptEndsOnceAndItsConnectionIsClosed) {
+  std::promise<void> Arrived;
+  std::promise<void> Release;
+  auto Released = Release.get_future().share();
+  Backend Server([&Arrived, Released](const BackendRequest &Request) {
+    if (Request["VH-Exchange"] == "1") {
+      Arrived.set_value();
+      Released.wait();
+    }
+    return echoPath(Request);
+  });
+  auto Site = deskSettings({Server.port()});
+  Site.m_Services[0].m_Servers[0].m_MaxConnections = 1;
+  use(Site);
+  dispatch(1);
+  Arrived.get_future().wait();
+  m_Pool->cancel(static_cast<AttemptId>(1));
+  m_Pool->cancel(static_cast<AttemptId>(1));
+  EXPECT_EQ(ended().m_Result, AttemptResult::Unknown);
+  EXPECT_EQ(run(2).m_Result, AttemptResult::Completed);
+  EXPECT_EQ(Server.accepted(), 2);
+  EXPECT_EQ(m_Inbox.size(), 0U);
+  Release.set_value();
+}
+
+TEST_F(PoolTest, CancelRightAfterDispatchEndsTheAttemptOnce) {
+  Backend Server(echoPath);
+  use(deskSettings({Server.port()}));
+  for (std::uint64_t Attempt = 1; Attempt <= 200; ++Attempt) {
+    dispatch(Attempt);
+    m_Pool->cancel(static_cast<AttemptId>(Attempt));
+    EXPECT_EQ(ended().m_Attempt, static_cast<AttemptId>(Attempt));
+  }
+  EXPECT_EQ(m_Inbox.size(), 0U);
+}
+
+TEST_F(PoolTest, StaysWithinItsShareOfTheServersConnections) {
+  Backend Server(echoPath);
+  auto Site = deskSettings({Server.port()});
+  Site.m_Membership.m_MaxVms = 24;
+  Site.m_Services[0].m_Servers[0].m_MaxConnections = 71; // 71 / 24 = 2
+  use(Site);
+  constexpr int Attempts = 200;
+  for (int Attempt = 1; Attempt <= Attempts; ++Attempt) {
+    dispatch(static_cast<std::uint64_t>(Attempt));
+  }
+  for (int Attempt = 1; Attempt <= Attempts; ++Attempt) {
+    EXPECT_EQ(ended().m_Result, AttemptResult::Completed);
+  }
+  EXPECT_EQ(Server.accepted(), 2);
+}
+
+TEST_F(PoolTest, ARefusedConnectionMeansNotSent) {
+  std::uint16_t Closed = 0;
+  {
+    Backend Gone(echoPath);
+    Closed = Gone.port();
+  }
+  use(deskSettings({Closed}));
+  EXPECT_EQ(run(1).m_Result, AttemptResult::NotSent);
+}
+
+TEST_F(PoolTest, AnUnknownServerOrACallerThatHasGoneMeansNotSent) {
+  EXPECT_EQ(run(1).m_Result, AttemptResult::NotSent);
+  m_Pool->dispatch({.m_Attempt = static_cast<AttemptId>(2)}, nullptr);
+  EXPECT_EQ(ended().m_Result, AttemptResult::NotSent);
+}
+
+TEST_F(PoolTest, OnlyTheServersOwnWordMeansNotRun) {
+  Backend Server([](const BackendRequest &Request) {
+    const bool NotRun = Request["VH-Exchange"] == "1";
+    return Backend::reply(Request, "", NotRun ? "VH-Not-Run: true\r\nVH-Leaving: true\r\n" : "",
+                          "503 Service Unavailable");
+  });
+  use(deskSettings({Server.port()}));
+  const auto Refused = run(1);
+  EXPECT_EQ(Refused.m_Result, AttemptResult::NotRun);
+  EXPECT_TRUE(Refused.m_ServerLeaving);
+  const auto Failed = run(2);
+  EXPECT_EQ(Failed.m_Result, AttemptResult::Completed);
+  EXPECT_EQ(Failed.m_Reply->m_Status, 503U);
+}
+
+TEST_F(PoolTest, AProbeTellsHealth) {
+  Backend Server([](const BackendRequest &Request) {
+    EXPECT_EQ(Request.target(), "/vh/health");
+    return Backend::reply(Request, "");
+  });
+  use(deskSettings({Server.port()}));
+  m_Pool->probe(FirstServer);
+  EXPECT_TRUE(m_Inbox.next<kernel::ProbeEnded>().m_Healthy);
+  use(deskSettings({}));
+  m_Pool->probe(FirstServer);
+  EXPECT_FALSE(m_Inbox.next<kernel::ProbeEnded>().m_Healthy);
+}
+
+} // namespace
+} // namespace vanillahill::net::fakes
--- a/tests/unit-entry.cpp
+++ b/tests/unit-entry.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
+#include <future>
+
 namespace vanillahill::net::fakes {
 namespace {
 
@@ -33,5 +36,69 @@
   EXPECT_EQ(Answer["VH-Reason"], "unknown_kind");
 }
 
+TEST(Entry, ShowsMetricsAndStatusToTheTokenOnly) {
+  Backend Server(echoPath);
+  RunningEntry Vm(deskSettings({Server.port()}));
+  Client(Vm->callerPort()).ask(Look);
+  EXPECT_EQ(Vm.admin("/live").result_int(), 200U);
+  EXPECT_EQ(Vm.admin("/ready").result_int(), 200U);
+  for (const std::string_view Wrong : {"", "secret-toke", "secret-token2", "Secret-token"}) {
+    EXPECT_EQ(Vm.admin("/metrics", Wrong).result_int(), 401U);
+    EXPECT_EQ(Vm.admin("/status", Wrong).result_int(), 401U);
+  }
+  const auto Text = Vm.admin("/metrics").body();
+  EXPECT_NE(Text.find("vanillahill_wrong_tokens_total 8"), std::string::npos);
+  EXPECT_NE(Text.find("vanillahill_request_seconds_count{kind=\"desk/look\""), std::string::npos);
+  EXPECT_NE(Text.find("vanillahill_completed_total{kind=\"desk/look\"} 1"), std::string::npos);
+  EXPECT_NE(Vm.admin("/status").body().find("\"state\": \"serving\""), std::string::npos);
+  EXPECT_EQ(Vm.admin("/other").result_int(), 404U);
+}
+
+TEST(Entry, TheAdminAddressIsReadOnly) {
+  RunningEntry Vm(deskSettings({}));
+  Client Operator(Vm->adminPort());
+  const auto Answer = Operator.ask("POST /status HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "
+                                   "secret-token\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(Answer.result_int(), 405U);
+}
+
+TEST(Entry, SigtermFinishesWhatIsInFlightAndEndsIdleConnections) {
+  std::promise<void> Arrived;
+  std::promise<void> Release;
+  auto Released = Release.get_future().share();
+  Backend Server([&Arrived, Released](const BackendRequest &Request) {
+    Arrived.set_value();
+    Released.wait();
+    return echoPath(Request);
+  });
+  RunningEntry Vm(deskSettings({Server.port()}));
+  Client Idle(Vm->callerPort());
+  Client Caller(Vm->callerPort());
+  Caller.send(Look);
+  Arrived.get_future().wait();
+  std::raise(SIGTERM);
+  while (Vm.admin("/ready").result_int() != 503) {
+    std::this_thread::yield();
+  }
+  Release.set_value();
+  const auto Answer = Caller.receive();
+  EXPECT_EQ(Answer.body(), "/desk/look/7");
+  EXPECT_FALSE(Answer.keep_alive());
+  Caller.awaitEnd();
+  Idle.awaitEnd();
+  Vm.awaitStopped();
+}
+
+TEST(Entry, AnAddressThatCannotBeUsedIsAnError) {
+  for (const auto *Address :
+       {"", "127.0.0.1", "localhost:80", "127.0.0.1:70000", "203.0.113.1:0"}) {
+    EntryOptions Options;
+    Options.m_Vm.m_CallerAddress = Address;
+    const auto Opened = Entry::open(Options);
+    ASSERT_FALSE(Opened);
+    EXPECT_EQ(Opened.error().m_Code, make_error_code(Errc::AddressUnusable));
+  }
+}
+
 } // namespace
 } // namespace vanillahill::net::fakes
--- /dev/null
+++ b/tests/unit-log.cpp
@@ -0,0 +1,45 @@
+#include "vanillahill/core/secret.hpp"
+#include "vanillahill/observe/log.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanillahill::observe {
+namespace {
+
+TEST(RepeatLimit, LetsOneLineASecondThroughAndCountsTheOthers) {
+  RepeatLimit Limit;
+  PausedClock Clock;
+  EXPECT_EQ(Limit.admit("cut s1", Clock.now()), 0U);
+  for (int Repeat = 0; Repeat < 5; ++Repeat) {
+    EXPECT_EQ(Limit.admit("cut s1", Clock.now()), std::nullopt);
+  }
+  EXPECT_EQ(Limit.admit("cut s2", Clock.now()), 0U);
+  Clock.advance(std::chrono::seconds(1));
+  EXPECT_EQ(Limit.admit("cut s1", Clock.now()), 5U);
+}
+
+TEST(RepeatLimit, KnowsABoundedNumberOfPeers) {
+  RepeatLimit Limit;
+  constexpr int ManyPeers = 5000;
+  for (int Peer = 0; Peer < ManyPeers; ++Peer) {
+    EXPECT_EQ(Limit.admit(std::to_string(Peer), TimePoint{}), 0U);
+  }
+}
+
+TEST(Log, KnowsTheLevelsOfTheSettings) {
+  for (const auto *Name : {"trace", "debug", "warning", "error", "critical", "off", "info"}) {
+    EXPECT_TRUE(setLogLevel(Name));
+  }
+  EXPECT_FALSE(setLogLevel("loud"));
+}
+
+TEST(Secret, OnlyTheWholeSecretIsEqual) {
+  EXPECT_TRUE(equalSecrets("abc", "abc"));
+  for (const auto *Shown : {"", "ab", "abcabc", "abcd", "Abc"}) {
+    EXPECT_FALSE(equalSecrets(Shown, "abc"));
+  }
+  EXPECT_FALSE(equalSecrets("", ""));
+}
+
+} // namespace
+} // namespace vanillahill::observe
