--- a/bench/bench-decision.cpp
+++ b/bench/bench-decision.cpp
@@ -52,12 +52,14 @@
     const std::string Name = "service" + std::to_string(Index);
     ServiceSettings Service{.m_Id = idOf<ServiceId>(Name), .m_Name = Name};
     Service.m_Policy.m_Name = Policy;
-    Service.m_Kinds.push_back(
-        {.m_Id = idOf<KindId>(Name + "/read"), .m_Name = "read", .m_Idempotent = true});
+    Service.m_Kinds.push_back({.m_Id = idOf<KindId>(std::string(Name).append("/read")),
+                               .m_Name = "read",
+                               .m_Idempotent = true});
     for (std::uint32_t Server = Index; Server < Servers; Server += Services) {
       const std::string ServerName = "s" + std::to_string(Server);
       Service.m_Servers.push_back(
-          {.m_Id = idOf<ServerId>(Name + "/" + ServerName), .m_Name = ServerName});
+          {.m_Id = idOf<ServerId>(std::string(Name).append("/").append(ServerName)),
+           .m_Name = ServerName});
     }
     Site->m_Services.push_back(Service);
   }
@@ -79,12 +81,26 @@
       : m_Site(makeSite(Servers, Policy)),
         m_Node({.m_Name = "e0", .m_Seed = 1, .m_Settings = m_Site}) {
     m_Node.handle(makeVms(Vms), m_Clock.now(), m_Out);
+    hearPeers(Vms);
+    hearPeers(Vms);
     m_Out.clear();
   }
 
+  /// Each peer serves, acknowledges the last heartbeat and has no idle slot.
+  void hearPeers(std::uint32_t Vms) {
+    ++m_Sequence;
+    m_Clock.advance(std::chrono::milliseconds(1));
+    for (std::uint32_t Index = 1; Index < Vms; ++Index) {
+      const VmId Peer = idOf<VmId>("e" + std::to_string(Index));
+      const peer::Heartbeat Beat{
+          .m_Incarnation = 1, .m_Sequence = m_Sequence, .m_State = peer::VmState::Serving};
+      m_Node.handle(PeerReceived{Peer, Beat}, m_Clock.now(), m_Out);
+    }
+  }
+
   void arrive() {
     const ServiceSettings &Service = m_Site->m_Services[m_Next % m_Site->m_Services.size()];
-    m_Clock.advance(std::chrono::microseconds(100));
+    m_Clock.advance(std::chrono::microseconds(1));
     m_Node.handle(RequestArrived{.m_Request = RequestId{++m_Next},
                                  .m_Service = Service.m_Id,
                                  .m_Kind = Service.m_Kinds.front().m_Id},
@@ -129,6 +145,7 @@
   std::deque<AttemptId> m_Running;
   ReplyPtr m_Reply = std::make_shared<Reply>();
   std::uint64_t m_Next = 0;
+  std::uint64_t m_Sequence = 0;
 };
 
 void decide(benchmark::State &State, const char *Policy) {
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -1,11 +1,13 @@
 #include "vanillahill/kernel/node.hpp"
 
+#include "vanillahill/config/replica.hpp"
 #include "vanillahill/idempotency/key_guard.hpp"
 #include "vanillahill/kernel/dispatcher_base.hpp"
 #include "vanillahill/membership/members.hpp"
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace vanillahill::kernel {
@@ -57,7 +59,10 @@
       : m_Options(std::move(Given)), m_Members(membersOptions(m_Options)),
         m_Keys({.m_Settings = {},
                 .m_Incarnation = m_Options.m_Incarnation,
-                .m_Seed = m_Options.m_Seed}) {
+                .m_Seed = m_Options.m_Seed}),
+        m_Replica({.m_Site = m_Options.m_Site,
+                   .m_Seed = m_Options.m_Seed ^ raw(idOf<VmId>(m_Options.m_Name)),
+                   .m_Policies = m_Policies}) {
     m_Context.m_Self = idOf<VmId>(m_Options.m_Name);
     m_Context.m_Gate = this;
     m_Context.m_Random.seed(m_Options.m_Seed);
@@ -70,11 +75,12 @@
   /// Puts the settings in force that were given at the start.
   void begin(TimePoint Now, Actions &Out) {
     if (!m_Settings && m_Options.m_Settings) {
-      apply(m_Options.m_Settings, Now, Out);
+      Out.push_back(SettingsChanged{});
+      apply(m_Options.m_Settings, Now);
     }
   }
 
-  void apply(std::shared_ptr<const SiteSettings> Next, TimePoint Now, Actions &Out) {
+  void apply(std::shared_ptr<const SiteSettings> Next, TimePoint Now) {
     m_Settings = std::move(Next);
     m_Members.updateSettings(m_Settings->m_Membership);
     m_Keys.updateSettings(m_Settings->m_Idempotency);
@@ -88,12 +94,22 @@
     for (const ServiceSettings &Service : m_Settings->m_Services) {
       applyService(Service, Now);
     }
-    Out.push_back(SettingsChanged{});
+    for (const auto &[Id, Dispatcher] : m_Dispatchers) {
+      touch(Id);
+    }
     serveIfReady();
     m_Sharers.clear();
     shareSlots();
   }
 
+  /// Puts in force what the replica has come to.
+  void followReplica(TimePoint Now) {
+    const std::shared_ptr<const SiteSettings> Next = m_Replica.settings();
+    if (Next && Next != m_Settings && !m_Options.m_Settings) {
+      apply(Next, Now);
+    }
+  }
+
   void applyService(const ServiceSettings &Service, TimePoint Now) {
     const auto Found = m_Dispatchers.find(Service.m_Id);
     if (Found != m_Dispatchers.end()) {
@@ -129,6 +145,37 @@
     m_Sharers = std::move(Sharers);
     for (auto &[Id, Dispatcher] : m_Dispatchers) {
       Dispatcher->setMembers(m_Sharers);
+      touch(Id);
+    }
+  }
+
+  /// Notes that an event changed a dispatcher, so that its timer is read again.
+  void touch(ServiceId Service) { m_Touched.push_back(Service); }
+
+  void rescheduleTouched(TimePoint Now) {
+    for (const ServiceId Service : m_Touched) {
+      const TimePoint Next = find(Service)->nextTimer(Now);
+      auto [Known, Inserted] = m_DueAt.try_emplace(Service, Next);
+      if (!Inserted && Known->second != Next) {
+        m_Due.erase({Known->second, Service});
+        Known->second = Next;
+        Inserted = true;
+      }
+      if (Inserted && Next != TimePoint::max()) {
+        m_Due.emplace(Next, Service);
+      }
+    }
+    m_Touched.clear();
+  }
+
+  /// Lets the dispatchers act whose time has come.
+  void tickDue(TimePoint Now, Actions &Out) {
+    for (const auto &[At, Service] : m_Due) {
+      if (At > Now) {
+        return;
+      }
+      find(Service)->tick(Now, Out);
+      touch(Service);
     }
   }
 
@@ -178,6 +225,7 @@
     OpenRequest &Open = m_Open.at(Request);
     Open.m_Running = true;
     find(Open.m_Service)->arrive(Request, Open.m_Kind, Open.m_Deadline, Now, Out);
+    touch(Open.m_Service);
   }
 
   void on(const CallerGone &Input, TimePoint Now, Actions &Out) {
@@ -187,6 +235,7 @@
     }
     if (Found->second.m_Running) {
       find(Found->second.m_Service)->callerGone(Input.m_Request, Now, Out);
+      touch(Found->second.m_Service);
     } else if (m_Keys.callerGone(Input.m_Request, Now)) {
       Out.push_back(Answer{.m_Request = Input.m_Request, .m_Reason = Reason::CallerGone});
     }
@@ -200,11 +249,13 @@
     const ServiceId Service = Found->second;
     m_Attempts.erase(Found);
     find(Service)->attemptEnded(Input, Now, Out);
+    touch(Service);
   }
 
   void on(const ProbeEnded &Input, TimePoint Now, Actions &Out) {
     for (auto &[Id, Dispatcher] : m_Dispatchers) {
       Dispatcher->probeEnded(Input, Now, Out);
+      touch(Id);
     }
   }
 
@@ -212,6 +263,7 @@
     if (const std::optional<ServiceId> Service = serviceOf(Input.m_Message)) {
       if (DispatcherBase *Dispatcher = find(*Service)) {
         Dispatcher->peerMessage(Input.m_From, Input.m_Message, Now, Out);
+        touch(*Service);
       }
     } else if (const auto *Beat = std::get_if<peer::Heartbeat>(&Input.m_Message)) {
       onHeartbeat(Input.m_From, *Beat, Now, Out);
@@ -225,11 +277,21 @@
            m_Keys.onAnswer(Input.m_From, *Known, m_Members.view(Now), Now, Out)) {
         run(Request, Now, Out);
       }
+    } else if (const auto *Push = std::get_if<peer::ConfigPush>(&Input.m_Message)) {
+      m_Replica.onPeerRecords(Push->m_Records, Now, Out);
+      followReplica(Now);
+    } else if (std::holds_alternative<peer::ConfigPull>(Input.m_Message)) {
+      m_Replica.onPull(Input.m_From, Out);
     }
   }
 
   void onHeartbeat(VmId From, const peer::Heartbeat &Beat, TimePoint Now, Actions &Out) {
     m_Members.onHeartbeat(From, Beat, Now, Out);
+    std::vector<peer::FileVersion> &Versions = m_PeerVersions[From];
+    if (!Beat.m_Versions.empty()) {
+      Versions = Beat.m_Versions;
+    }
+    m_Replica.onPeerVersions(From, Versions, Now, Out);
     for (const peer::ServiceHint &Hint : Beat.m_Hints) {
       if (DispatcherBase *Dispatcher = find(Hint.m_Service)) {
         Dispatcher->peerHint(From, Hint, Now);
@@ -252,7 +314,10 @@
     tick(Now, Out);
   }
 
-  void on(const LogRead & /*Input*/, TimePoint /*Now*/, Actions & /*Out*/) {}
+  void on(const LogRead &Input, TimePoint Now, Actions &Out) {
+    m_Replica.onLogRead(Input, Now, Out);
+    followReplica(Now);
+  }
 
   void on(const StopRequested & /*Input*/, TimePoint Now, Actions &Out) {
     if (!m_StopAt) {
@@ -265,9 +330,8 @@
   void on(const TimerFired & /*Input*/, TimePoint Now, Actions &Out) {
     tick(Now, Out);
     m_Keys.tick(Now, Out);
-    for (auto &[Id, Dispatcher] : m_Dispatchers) {
-      Dispatcher->tick(Now, Out);
-    }
+    m_Replica.tick(Now, Out);
+    tickDue(Now, Out);
   }
 
   /// Sends the heartbeats that are due and follows changes of the membership.
@@ -281,7 +345,7 @@
   }
 
   peer::Heartbeat heartbeat(TimePoint Now) const {
-    peer::Heartbeat Beat;
+    peer::Heartbeat Beat{.m_Versions = m_Replica.versions()};
     for (const auto &[Id, Dispatcher] : m_Dispatchers) {
       Beat.m_Hints.push_back(Dispatcher->hint());
       Dispatcher->appendMarks(Now, Beat.m_Avoid, Beat.m_Leaving);
@@ -344,12 +408,12 @@
   }
 
   TimePoint nextTimer() const {
-    TimePoint Next = std::min(m_Members.nextTimer(), m_Keys.nextTimer());
+    TimePoint Next = std::min({m_Members.nextTimer(), m_Keys.nextTimer(), m_Replica.nextTimer()});
     if (m_StopAt && m_Now < *m_StopAt) {
       Next = std::min(Next, *m_StopAt);
     }
-    for (const auto &[Id, Dispatcher] : m_Dispatchers) {
-      Next = std::min(Next, Dispatcher->nextTimer(m_Now));
+    if (!m_Due.empty()) {
+      Next = std::min(Next, m_Due.begin()->first);
     }
     return Next;
   }
@@ -358,6 +422,7 @@
     NodeStatus Status{.m_Name = m_Options.m_Name,
                       .m_State = m_Members.state(),
                       .m_HasLease = m_Members.hasLease(Now),
+                      .m_Versions = m_Replica.versions(),
                       .m_Members = m_Members.status(Now),
                       .m_Keys = m_Keys.size(),
                       .m_PeerMessagesSent = m_MessagesSent};
@@ -377,8 +442,17 @@
   DispatcherContext m_Context;
   membership::Members m_Members;
   idempotency::KeyGuard m_Keys;
+  const std::vector<std::string_view> m_Policies = policyNames();
+  config::Replica m_Replica;
+  /// What each VM last said of its versions.
+  std::map<VmId, std::vector<peer::FileVersion>> m_PeerVersions;
   std::shared_ptr<const SiteSettings> m_Settings;
   std::map<ServiceId, std::unique_ptr<DispatcherBase>> m_Dispatchers;
+  /// When each dispatcher wants to act, and the same in order of time.
+  std::map<ServiceId, TimePoint> m_DueAt;
+  std::set<std::pair<TimePoint, ServiceId>> m_Due;
+  /// Dispatchers that this event changed.
+  std::vector<ServiceId> m_Touched;
   std::unordered_map<RequestId, OpenRequest> m_Open;
   std::unordered_map<AttemptId, ServiceId> m_Attempts;
   std::map<KindId, KindCounters> m_GuardCounters;
@@ -401,6 +475,7 @@
   std::visit([&](const auto &Typed) { m_State->on(Typed, Now, Out); }, Input);
   m_State->follow(Before, Now, Out);
   m_State->stopWhenDone(Now, Out);
+  m_State->rescheduleTouched(Now);
 }
 
 TimePoint Node::nextTimer() const { return m_State->nextTimer(); }
