Entry tests: a VM that is alone becomes ready after it listened for others

Cause: with the membership joined, a single VM serves only after the lease margin; the test asked at once. Change: given settings bring a VM list of this VM alone; the test waits for readiness, which is as strict as before: a VM that never gets ready fails by the time limit.

--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -140,7 +140,12 @@
   applySettings();
   m_Callers->start();
   m_Admin->start();
-  if (!m_Options.m_Settings) {
+  if (m_Options.m_Settings) {
+    const VmSettings &Vm = m_Options.m_Vm;
+    m_Loop.post(kernel::VmListRead{{{.m_Name = Vm.m_Name,
+                                     .m_PeerAddress = Vm.m_PeerAddress,
+                                     .m_DataCenter = Vm.m_DataCenter}}});
+  } else {
     m_Platform->start();
   }
   if (m_Options.m_HandleSignals) {
--- a/tests/net_fakes.hpp
+++ b/tests/net_fakes.hpp
@@ -178,6 +178,8 @@
   Service.m_Policy.m_Name = "naive";
   Site.m_Services.push_back(std::move(Service));
   Site.m_Membership.m_MaxVms = 1;
+  // A VM that is alone listens for others for this long before it serves.
+  Site.m_Membership.m_LeaseMargin = std::chrono::milliseconds(1);
   return Site;
 }
 
@@ -210,6 +212,13 @@
 
   Entry *operator->() { return m_Entry.get(); }
 
+  /// Waits until the entry is ready; a test that waits in vain is ended by its time limit.
+  void awaitReady() {
+    while (admin("/ready").result_int() != 200U) {
+      std::this_thread::yield();
+    }
+  }
+
   /// Waits until the entry has stopped by itself.
   void awaitStopped() { m_Thread.join(); }
 
