--- a/tests/unit-config-replay.cpp
+++ b/tests/unit-config-replay.cpp
@@ -14,7 +14,7 @@
 /// The naive rule: the highest version seen counts, from the log or from a peer; no check.
 class NaiveReplica {
 public:
-  explicit NaiveReplica(ReplicaOptions) {}
+  explicit NaiveReplica(const ReplicaOptions &) {}
 
   void onLogRead(const kernel::LogRead &Read, TimePoint, kernel::Actions &) {
     for (const kernel::LogRecord &Each : Read.m_Records) {
@@ -160,12 +160,14 @@
                                                           "overlay/zagreb"};
     const std::string File = Files.at(Argument % Files.size());
     const std::uint32_t Number = 1 + Argument / 3 % 6;
-    const std::uint64_t Stale = Argument / 18 % 4 == 0 ? 1 : 0;
+    const std::uint32_t Skew = Argument / 18 % 8;
     const auto Held = m_Models.back().m_Held.find(File);
     const std::uint64_t Current = Held == m_Models.back().m_Held.end() ? 0 : Held->second.m_Version;
-    const std::uint64_t BuildsOn = Current - std::min(Current, Stale);
+    const std::uint64_t BuildsOn = Skew == 0                  ? Current + 1
+                                   : Skew == 1 && Current > 0 ? Current - 1
+                                                              : Current;
     const std::string Content = File == "base" ? baseContent(Number) : overlayContent(Number);
-    const bool OldId = Argument / 72 % 8 == 0 && !m_Written.empty();
+    const bool OldId = Argument / 144 % 8 == 0 && !m_Written.empty();
     const std::string Id = OldId ? m_Written[Argument % m_Written.size()].first.m_ChangeId
                                  : "c" + std::to_string(m_Written.size());
     m_Written.emplace_back(change(File, BuildsOn, Id, Content), Number);
@@ -334,7 +336,7 @@
   EXPECT_EQ(Follower.state().versionOf("base"), 1U);
 }
 
-RC_GTEST_PROP(ConfigReplay, ARecordSurvivesItsText, (std::string Noise)) {
+RC_GTEST_PROP(ConfigReplay, ARecordSurvivesItsText, (const std::string &Noise)) {
   const Change Written = change("base", 3, "c4", R"({"a":[1,2.5,"x"]})");
   RC_ASSERT(std::get<Change>(decode(encode(Written)).value()) == Written);
   RC_ASSERT(!decode(Noise).has_value());
