--- a/include/vanillahill/peer/message.hpp
+++ b/include/vanillahill/peer/message.hpp
@@ -47,10 +47,12 @@
   VmState m_State = VmState::Starting;
   std::vector<FileVersion> m_Versions;
   std::vector<ServiceHint> m_Hints;
-  /// Backend servers that this VM found leaving or failing.
+  /// Backend servers that this VM found failing.
   std::vector<ServerId> m_Avoid;
   /// Peers that this VM knows: a newcomer learns of them.
   std::vector<std::string> m_Known;
+  /// Backend servers that told this VM that they are leaving.
+  std::vector<ServerId> m_Leaving;
 };
 
 struct HeartbeatAck {
@@ -68,7 +70,13 @@
 struct Slot {
   ServerId m_Server{};
   std::uint32_t m_Index = 0;
-  auto operator<=>(const Slot &) const = default;
+
+  friend bool operator==(const Slot &A, const Slot &B) {
+    return A.m_Server == B.m_Server && A.m_Index == B.m_Index;
+  }
+  friend bool operator<(const Slot &A, const Slot &B) {
+    return A.m_Server != B.m_Server ? A.m_Server < B.m_Server : A.m_Index < B.m_Index;
+  }
 };
 
 /// Lends slots for a term. An empty list declines.
@@ -107,6 +115,10 @@
   KeyState m_State = KeyState::Unknown;
   /// Set for Answered.
   ReplyPtr m_Reply;
+  /// Start of the process that answers: one started anew has forgotten the keys of the earlier.
+  std::uint64_t m_Incarnation = 0;
+  /// VMs that the answering VM would itself ask, and itself: the asker must know them all.
+  std::vector<VmId> m_Members;
 };
 
 /// One configuration record as it stands in the log.
