Peer codec: all fields of a key answer travel

Cause: fields added to KeyAnswer (incarnation, members) had no place in the codec, so every answer looked as if it came from another process and each repeat ended as key_unasked. Ruled out: lease or reachability of peers (status showed both).

--- a/include/vanillahill/peer/message.hpp
+++ b/include/vanillahill/peer/message.hpp
@@ -108,6 +108,8 @@
   Answered = 2,
   /// Was refused there and did not run; sealed.
   NotRun = 3,
+  /// Never run there; sealed by an earlier query, so a repeat may have run elsewhere.
+  SealedBefore = 4,
 };
 
 struct KeyAnswer {
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -34,18 +34,20 @@
   return Json::array({Value->m_Status, Value->m_ContentType, Json::binary(std::move(Body))});
 }
 
-/// Appends the fields of each message to its array.
+/// Appends the fields of each message to its array. The messages that other parts extend are taken
+/// apart by structured bindings, so that a field without a place here does not compile.
 struct FieldWriter {
   Json operator()(const Heartbeat &Value) const {
+    const auto &[Incarnation, Sequence, State, Versions, Hints, Avoid, Known, Leaving] = Value;
     Json Out = wire::startMessage(MessageType::Heartbeat);
-    Out.push_back(Value.m_Incarnation);
-    Out.push_back(Value.m_Sequence);
-    Out.push_back(raw(Value.m_State));
-    Out.push_back(wire::toItems(Value.m_Versions));
-    Out.push_back(wire::toItems(Value.m_Hints));
-    Out.push_back(wire::toItems(Value.m_Avoid));
-    Out.push_back(wire::toItems(Value.m_Known));
-    Out.push_back(wire::toItems(Value.m_Leaving));
+    Out.push_back(Incarnation);
+    Out.push_back(Sequence);
+    Out.push_back(raw(State));
+    Out.push_back(wire::toItems(Versions));
+    Out.push_back(wire::toItems(Hints));
+    Out.push_back(wire::toItems(Avoid));
+    Out.push_back(wire::toItems(Known));
+    Out.push_back(wire::toItems(Leaving));
     return Out;
   }
   Json operator()(const HeartbeatAck &Value) const {
@@ -80,10 +82,13 @@
     return Out;
   }
   Json operator()(const KeyAnswer &Value) const {
+    const auto &[Query, State, Kept, Incarnation, Members] = Value;
     Json Out = wire::startMessage(MessageType::KeyAnswer);
-    Out.push_back(Value.m_Query);
-    Out.push_back(raw(Value.m_State));
-    Out.push_back(toItems(Value.m_Reply));
+    Out.push_back(Query);
+    Out.push_back(raw(State));
+    Out.push_back(toItems(Kept));
+    Out.push_back(Incarnation);
+    Out.push_back(wire::toItems(Members));
     return Out;
   }
   Json operator()(const ConfigPush &Value) const {
@@ -146,8 +151,11 @@
 KeyAnswer readKeyAnswer(FieldReader &From) {
   KeyAnswer Out;
   Out.m_Query = From.number<std::uint64_t>("query");
-  Out.m_State = From.enumeration("state", KeyState::NotRun);
+  Out.m_State = From.enumeration("state", KeyState::SealedBefore);
   Out.m_Reply = From.reply("reply");
+  Out.m_Incarnation = From.number<std::uint64_t>("incarnation");
+  Out.m_Members =
+      From.values<VmId>("members", [](FieldReader &Entry) { return Entry.id<VmId>("vm"); });
   return Out;
 }
 
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -149,14 +149,21 @@
   return Out;
 }
 
-Json toItems(const std::vector<ServerId> &Values) {
+namespace {
+
+template <typename Id> Json idItems(const std::vector<Id> &Values) {
   Json Out = Json::array();
-  for (const ServerId Value : Values) {
+  for (const Id Value : Values) {
     Out.push_back(raw(Value));
   }
   return Out;
 }
 
+} // namespace
+
+Json toItems(const std::vector<ServerId> &Values) { return idItems(Values); }
+Json toItems(const std::vector<VmId> &Values) { return idItems(Values); }
+
 Json toItems(const std::vector<std::string> &Values) {
   Json Out = Json::array();
   for (const std::string &Value : Values) {
--- a/src/peer/wire.hpp
+++ b/src/peer/wire.hpp
@@ -137,6 +137,7 @@
 Json toItems(const std::vector<FileVersion> &Values);
 Json toItems(const std::vector<ServiceHint> &Values);
 Json toItems(const std::vector<ServerId> &Values);
+Json toItems(const std::vector<VmId> &Values);
 Json toItems(const std::vector<std::string> &Values);
 
 std::vector<FileVersion> readVersions(FieldReader &From);
