Peer codec: carry incarnation and members of a key answer

Cause: KeyAnswer gained m_Incarnation and m_Members, the codec dropped both, so every asked key ended as key_unasked between real processes (290 of 290 postings in the first 6 s of a deployment of 4 VMs). Change: both fields are written and read; the round-trip property generates and compares them. Checked: unit-peer-codec; a first attempt right after the start of 4 VMs is now completed.

--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -84,6 +84,8 @@
     Out.push_back(Value.m_Query);
     Out.push_back(raw(Value.m_State));
     Out.push_back(toItems(Value.m_Reply));
+    Out.push_back(Value.m_Incarnation);
+    Out.push_back(wire::toItems(Value.m_Members));
     return Out;
   }
   Json operator()(const ConfigPush &Value) const {
@@ -148,6 +150,8 @@
   Out.m_Query = From.number<std::uint64_t>("query");
   Out.m_State = From.enumeration("state", KeyState::NotRun);
   Out.m_Reply = From.reply("reply");
+  Out.m_Incarnation = From.number<std::uint64_t>("incarnation");
+  Out.m_Members = wire::readVms(From, "members");
   return Out;
 }
 
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -157,6 +157,14 @@
   return Out;
 }
 
+Json toItems(const std::vector<VmId> &Values) {
+  Json Out = Json::array();
+  for (const VmId Value : Values) {
+    Out.push_back(raw(Value));
+  }
+  return Out;
+}
+
 Json toItems(const std::vector<std::string> &Values) {
   Json Out = Json::array();
   for (const std::string &Value : Values) {
@@ -189,6 +197,10 @@
                                [](FieldReader &Entry) { return Entry.id<ServerId>("server"); });
 }
 
+std::vector<VmId> readVms(FieldReader &From, std::string_view Field) {
+  return From.values<VmId>(Field, [](FieldReader &Entry) { return Entry.id<VmId>("vm"); });
+}
+
 std::vector<std::string> readTexts(FieldReader &From, std::string_view Field) {
   return From.values<std::string>(Field, [](FieldReader &Entry) { return Entry.text("text"); });
 }
--- a/src/peer/wire.hpp
+++ b/src/peer/wire.hpp
@@ -137,11 +137,13 @@
 Json toItems(const std::vector<FileVersion> &Values);
 Json toItems(const std::vector<ServiceHint> &Values);
 Json toItems(const std::vector<ServerId> &Values);
+Json toItems(const std::vector<VmId> &Values);
 Json toItems(const std::vector<std::string> &Values);
 
 std::vector<FileVersion> readVersions(FieldReader &From);
 std::vector<ServiceHint> readHints(FieldReader &From);
 std::vector<ServerId> readServers(FieldReader &From, std::string_view Field);
+std::vector<VmId> readVms(FieldReader &From, std::string_view Field);
 std::vector<std::string> readTexts(FieldReader &From, std::string_view Field);
 
 } // namespace vanillahill::peer::wire
--- a/tests/peer_messages.hpp
+++ b/tests/peer_messages.hpp
@@ -51,6 +51,7 @@
     if (V.m_Reply) {
       put(V.m_Reply->m_Status), put(V.m_Reply->m_ContentType), put(V.m_Reply->m_Body);
     }
+    put(V.m_Incarnation), put(V.m_Members);
   }
   void operator()(const ConfigPush &V) { put(V.m_Records); }
   void operator()(const ConfigPull &) {}
@@ -109,6 +110,9 @@
 template <> struct Arbitrary<vh::ServerId> {
   static auto arbitrary() { return arbitraryId<vh::ServerId>(); }
 };
+template <> struct Arbitrary<vh::VmId> {
+  static auto arbitrary() { return arbitraryId<vh::VmId>(); }
+};
 template <> struct Arbitrary<vhp::VmState> {
   static auto arbitrary() {
     return gen::element(vhp::VmState::Starting, vhp::VmState::Serving, vhp::VmState::Leaving);
@@ -183,7 +187,9 @@
                                    gen::set(&SlotReturn::m_Slots))),
         Any(gen::build<KeyQuery>(gen::set(&KeyQuery::m_Query), gen::set(&KeyQuery::m_Key))),
         Any(gen::build<KeyAnswer>(gen::set(&KeyAnswer::m_Query), gen::set(&KeyAnswer::m_State),
-                                  gen::set(&KeyAnswer::m_Reply))),
+                                  gen::set(&KeyAnswer::m_Reply),
+                                  gen::set(&KeyAnswer::m_Incarnation),
+                                  gen::set(&KeyAnswer::m_Members))),
         Any(gen::build<ConfigPush>(gen::set(&ConfigPush::m_Records))),
         Any(gen::just(ConfigPull{})));
   }
