--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -154,8 +154,7 @@
   Out.m_State = From.enumeration("state", KeyState::SealedBefore);
   Out.m_Reply = From.reply("reply");
   Out.m_Incarnation = From.number<std::uint64_t>("incarnation");
-  Out.m_Members =
-      From.values<VmId>("members", [](FieldReader &Entry) { return Entry.id<VmId>("vm"); });
+  Out.m_Members = wire::readVms(From, "members");
   return Out;
 }
 
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -196,6 +196,10 @@
                                [](FieldReader &Entry) { return Entry.id<ServerId>("server"); });
 }
 
+std::vector<VmId> readVms(FieldReader &From, std::string_view Field) {
+  return From.values<VmId>(Field, [](FieldReader &Entry) { return Entry.id<VmId>("vm"); });
+}
+
 std::vector<std::string> readTexts(FieldReader &From, std::string_view Field) {
   return From.values<std::string>(Field, [](FieldReader &Entry) { return Entry.text("text"); });
 }
