--- a/src/net/platform_json.cpp
+++ b/src/net/platform_json.cpp
@@ -39,6 +39,7 @@
 Result<kernel::LogRead> parseLogPage(std::string_view Text) {
   return readJson<kernel::LogRead>("log page", Text, [](const json &Page) {
     kernel::LogRead Read;
+    Read.m_First = Page.at("first").get<std::uint64_t>();
     Read.m_Next = Page.at("next").get<std::uint64_t>();
     for (const auto &Record : Page.at("records")) {
       Read.m_Records.push_back(readRecord(Record));
--- a/tests/unit-platform-json.cpp
+++ b/tests/unit-platform-json.cpp
@@ -9,6 +9,7 @@
   const auto Page = parseLogPage(
       R"({"first":3,"next":6,"records":[{"offset":3,"data":"a"},{"offset":5,"data":"b"}]})");
   ASSERT_TRUE(Page);
+  EXPECT_EQ(Page->m_First, 3U);
   EXPECT_EQ(Page->m_Next, 6U);
   ASSERT_EQ(Page->m_Records.size(), 2U);
   EXPECT_EQ(Page->m_Records[1].m_Offset, 5U);
--- /dev/null
+++ b/tests/unit-publish.cpp
@@ -0,0 +1,176 @@
+#include "config_content.hpp"
+
+#include "vanillahill/config/publisher.hpp"
+#include "vanillahill/ctl/vm_status.hpp"
+#include "vanillahill/platform/log_store.hpp"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+
+namespace vanillahill::config {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// What happens to one append.
+enum class Fate { Done, ReplyLost, Refused };
+
+/// A log in memory with a paused clock; faults are queued, one for each call.
+class FakeLog {
+public:
+  Result<std::uint64_t> append(const std::string &Data) {
+    if (m_BeforeAppend) {
+      std::exchange(m_BeforeAppend, nullptr)();
+    }
+    const Fate Next = take(m_Appends, Fate::Done);
+    if (Next == Fate::Refused) {
+      return down();
+    }
+    const std::uint64_t Offset = m_Store.append(Data, m_Clock.now());
+    ++m_Appended;
+    if (Next == Fate::ReplyLost) {
+      return down();
+    }
+    return Offset;
+  }
+  Result<kernel::LogRead> read(std::uint64_t From) {
+    if (m_ReadsDown || take(m_FailedReads, false)) {
+      return down();
+    }
+    constexpr std::size_t PageRecords = 2;
+    const platform::LogPage Page = m_Store.read(From, m_Clock.now(), PageRecords);
+    return kernel::LogRead{
+        .m_First = Page.m_First, .m_Records = Page.m_Records, .m_Next = Page.m_Next};
+  }
+  void pause(Duration Length) { m_Clock.advance(Length); }
+  TimePoint now() const { return m_Clock.now(); }
+
+  PausedClock m_Clock;
+  platform::LogStore m_Store;
+  std::deque<Fate> m_Appends;
+  std::deque<bool> m_FailedReads;
+  bool m_ReadsDown = false;
+  std::function<void()> m_BeforeAppend;
+  int m_Appended = 0;
+
+private:
+  template <typename T> static T take(std::deque<T> &Queue, T Otherwise) {
+    if (Queue.empty()) {
+      return Otherwise;
+    }
+    const T Front = Queue.front();
+    Queue.pop_front();
+    return Front;
+  }
+  static Error down() { return {Errc::LogUnavailable, "call", "log", "status 503"}; }
+};
+
+class PublishTest : public testing::Test {
+protected:
+  PublishResult publish(std::string Id, std::uint32_t MaxVms) {
+    return Publisher(m_Log).publish({.m_File = "base",
+                                     .m_Content = baseContent(MaxVms),
+                                     .m_ChangeId = std::move(Id),
+                                     .m_Operator = "ana",
+                                     .m_BuildsOn = m_BuildsOn},
+                                    milliseconds(1000));
+  }
+  void appendRival(std::uint64_t BuildsOn) {
+    m_Log.m_Store.append(encode(change("base", BuildsOn, "rival", baseContent(9))), m_Log.now());
+  }
+  std::uint64_t versionInForce() {
+    Publisher Reader(m_Log);
+    EXPECT_TRUE(Reader.catchUp(m_Log.now() + milliseconds(100)));
+    return Reader.follower().state().versionOf("base");
+  }
+
+  FakeLog m_Log;
+  std::optional<std::uint64_t> m_BuildsOn;
+};
+
+TEST_F(PublishTest, AcceptedIsSaidAfterReadingBack) {
+  for (std::uint64_t Version = 1; Version <= 5; ++Version) {
+    const PublishResult Result = publish("c" + std::to_string(Version), 2);
+    EXPECT_EQ(Result.m_Status, PublishStatus::Accepted);
+    EXPECT_EQ(Result.m_Version, Version);
+  }
+  m_Log.m_FailedReads = {false, false, false, false, true, true};
+  EXPECT_EQ(publish("c6", 2).m_Status, PublishStatus::Accepted);
+  EXPECT_EQ(m_Log.m_Appended, 6);
+}
+
+TEST_F(PublishTest, ALostReplyIsSettledByReadingBack) {
+  m_Log.m_Appends = {Fate::ReplyLost};
+  EXPECT_EQ(publish("c1", 2).m_Status, PublishStatus::Accepted);
+  EXPECT_EQ(m_Log.m_Appended, 1);
+  m_Log.m_Appends = {Fate::Refused, Fate::Refused, Fate::ReplyLost};
+  EXPECT_EQ(publish("c2", 3).m_Status, PublishStatus::Accepted);
+  EXPECT_EQ(versionInForce(), 2U);
+}
+
+TEST_F(PublishTest, TheLoserOfARaceIsToldWhoWon) {
+  m_Log.m_BeforeAppend = [this] { appendRival(0); };
+  const PublishResult Result = publish("c1", 2);
+  EXPECT_EQ(Result.m_Status, PublishStatus::LostRace);
+  EXPECT_EQ(Result.m_Version, 1U);
+  EXPECT_EQ(Result.m_Winner.m_ChangeId, "rival");
+  m_BuildsOn = 0;
+  EXPECT_EQ(publish("c2", 2).m_Status, PublishStatus::LostRace);
+  EXPECT_EQ(m_Log.m_Appended, 1);
+}
+
+TEST_F(PublishTest, UnconfirmedIsLearntByTheSameChangeId) {
+  m_Log.m_Appends = {Fate::ReplyLost};
+  m_Log.m_BeforeAppend = [this] { m_Log.m_ReadsDown = true; };
+  EXPECT_EQ(publish("c1", 2).m_Status, PublishStatus::Unconfirmed);
+  m_Log.m_ReadsDown = false;
+  EXPECT_EQ(publish("c2", 3).m_Version, 2U);
+  const PublishResult Again = publish("c1", 2);
+  EXPECT_EQ(Again.m_Status, PublishStatus::Accepted);
+  EXPECT_EQ(Again.m_Version, 1U);
+  EXPECT_EQ(versionInForce(), 2U);
+  EXPECT_EQ(publish("c2", 7).m_Status, PublishStatus::IdReused);
+}
+
+TEST_F(PublishTest, NothingIsAppendedInAnOutageOrForInvalidSettings) {
+  EXPECT_EQ(publish("c0", 0).m_Status, PublishStatus::Invalid);
+  EXPECT_EQ(publish("c0", 0).m_Problems.front().m_Pointer, "/membership/max_vms");
+  m_Log.m_ReadsDown = true;
+  EXPECT_EQ(publish("c1", 2).m_Status, PublishStatus::LogUnavailable);
+  EXPECT_EQ(m_Log.m_Appended, 0);
+}
+
+TEST_F(PublishTest, AnAgedOutLogNeedsACheckpoint) {
+  ASSERT_EQ(publish("c1", 2).m_Status, PublishStatus::Accepted);
+  Publisher Reader(m_Log);
+  ASSERT_TRUE(Reader.catchUp(m_Log.now() + milliseconds(100)));
+  const std::string State = encode(Reader.follower().checkpoint());
+  appendRival(5);
+  m_Log.m_Store.dropBefore(1);
+  EXPECT_EQ(publish("c2", 2).m_Status, PublishStatus::StateMissing);
+  m_Log.m_Store.append(State, m_Log.now());
+  EXPECT_EQ(publish("c2", 2).m_Version, 2U);
+}
+
+TEST(CtlStatus, AVmThatLagsOrIsSilentIsNotInForce) {
+  const std::vector<peer::FileVersion> Current = {{"base", 3}, {"overlay/khomas", 2}};
+  const ctl::VmStatus Good = ctl::parseStatus(
+      "127.0.0.1:1", R"({"name":"e1","state":"serving","versions":[)"
+                     R"({"file":"base","version":3},{"file":"overlay/khomas","version":2}]})");
+  const ctl::VmStatus Late = ctl::parseStatus(
+      "127.0.0.1:2", R"({"name":"e2","state":"serving","versions":[{"file":"base","version":3}]})");
+  const ctl::VmStatus Broken = ctl::parseStatus("127.0.0.1:3", "{");
+  EXPECT_TRUE(ctl::inForce(std::vector{Good}, Current));
+  EXPECT_FALSE(ctl::inForce(std::vector{Good, Late}, Current));
+  EXPECT_FALSE(ctl::inForce(std::vector{Broken}, Current));
+  const std::string Table = ctl::statusTable(std::vector{Good, Late}, Current);
+  EXPECT_NE(
+      Table.find("e2               127.0.0.1:2            serving         3              0    2"),
+      std::string::npos)
+      << Table;
+}
+
+} // namespace
+} // namespace vanillahill::config
