--- a/src/net/platform_json.cpp
+++ b/src/net/platform_json.cpp
@@ -49,6 +49,7 @@
 Result<kernel::LogRead> parseLogPage(std::string_view Text) {
   return readJson<kernel::LogRead>("log page", Text, [](const json &Page) {
     kernel::LogRead Read;
+    Read.m_First = readOffset(Page.at("first"));
     Read.m_Next = readOffset(Page.at("next"));
     for (const auto &Record : Page.at("records")) {
       Read.m_Records.push_back(readRecord(Record));
