--- a/include/vanillahill/peer/delta.hpp
+++ b/include/vanillahill/peer/delta.hpp
@@ -9,9 +9,20 @@
 
 namespace vanillahill::peer {
 
+/// Changed hints that one heartbeat carries at most.
+inline constexpr std::size_t DefaultHintChanges = 8;
+
 /// The sending end of one connection. Not thread safe.
+///
+/// Hints are advice and change with every request, so that their share of a heartbeat is bounded:
+/// when more hints changed, the rest follows with the next heartbeats, in turn. All other fields
+/// are exact.
 class DeltaEncoder {
 public:
+  /// \param MaxHintChanges changed hints that one heartbeat carries at most
+  explicit DeltaEncoder(std::size_t MaxHintChanges = DefaultHintChanges)
+      : m_MaxHintChanges(MaxHintChanges) {}
+
   /// \brief Encodes the next message of the connection.
   /// \param Value the message; it must be sent, or the connection closed
   /// \return its CBOR bytes
@@ -19,8 +30,14 @@
   std::vector<std::uint8_t> encode(const Message &Value);
 
 private:
+  std::vector<std::uint8_t> encodeHeartbeat(const Heartbeat &Value);
+
+  std::size_t m_MaxHintChanges;
+  /// The last heartbeat, as the receiver knows it.
   std::optional<Heartbeat> m_Heartbeat;
   std::optional<HeartbeatAck> m_Ack;
+  /// Hint at which the search for changes begins.
+  std::size_t m_NextHint = 0;
 };
 
 /// The receiving end of one connection. Not thread safe.
--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t MaxPendingBytes = 256U << 10U;
 /// How long a connection may take to send what is queued after drain().
 constexpr Duration DrainTimeout = std::chrono::milliseconds(500);
+/// The second look at a silent connection follows after this part of the idle timeout.
+constexpr int SecondLookShare = 4;
 
 } // namespace
 
@@ -134,12 +136,17 @@
     return;
   }
   const Duration Silent = SystemClock{}.now() - m_LastRead;
-  if (Silent >= m_Limits.m_IdleTimeout) {
+  if (Silent < m_Limits.m_IdleTimeout) {
+    m_Suspected = false;
+    startTimer(m_Limits.m_IdleTimeout - Silent);
+  } else if (!m_Suspected) {
+    // This process may have been paused: what came meanwhile is read before the second look.
+    m_Suspected = true;
+    startTimer(m_Limits.m_IdleTimeout / SecondLookShare);
+  } else {
     fail(Errc::PeerConnectionLost, "read from peer",
          fmt::format("nothing was read for {} ms", toMillis(Silent)));
-    return;
   }
-  startTimer(m_Limits.m_IdleTimeout - Silent);
 }
 
 void Connection::read() {
--- a/src/peer/connection.hpp
+++ b/src/peer/connection.hpp
@@ -145,6 +145,8 @@
   bool m_Writing = false;
   bool m_Draining = false;
   bool m_ShutDown = false;
+  /// Nothing was read for the idle timeout; a second look follows.
+  bool m_Suspected = false;
   bool m_Closed = false;
 };
 
--- a/src/peer/delta.cpp
+++ b/src/peer/delta.cpp
@@ -3,6 +3,7 @@
 #include "wire.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillahill::peer {
 
@@ -37,15 +38,33 @@
   return std::ranges::equal(Left, Right, {}, &ServiceHint::m_Service, &ServiceHint::m_Service);
 }
 
-Json hintChanges(const std::vector<ServiceHint> &Base, const std::vector<ServiceHint> &Next) {
+bool sameLoad(const ServiceHint &Left, const ServiceHint &Right) {
+  return Left.m_IdleSlots == Right.m_IdleSlots && Left.m_Queued == Right.m_Queued;
+}
+
+/// \brief Finds hints that changed, and leaves the others at what the receiver knows.
+/// \param Next the hints to send; those that must wait are set back to Base
+/// \param Start where the search begins; moved on to the first hint that must wait
+Json hintChanges(const std::vector<ServiceHint> &Base, std::vector<ServiceHint> &Next,
+                 std::size_t Max, std::size_t &Start) {
   Json Out = Json::array();
-  for (std::size_t Index = 0; Index < Next.size(); ++Index) {
-    const ServiceHint &Hint = Next[Index];
-    if (Hint.m_IdleSlots != Base[Index].m_IdleSlots || Hint.m_Queued != Base[Index].m_Queued) {
-      Out.push_back(Index);
-      Out.push_back(Hint.m_IdleSlots);
-      Out.push_back(Hint.m_Queued);
+  std::size_t Found = 0;
+  const std::size_t First = Start;
+  for (std::size_t Step = 0; Step < Next.size(); ++Step) {
+    const std::size_t Index = (First + Step) % Next.size();
+    ServiceHint &Hint = Next[Index];
+    if (sameLoad(Hint, Base[Index])) {
+      continue;
+    }
+    if (Found == Max) {
+      Hint = Base[Index];
+      continue;
     }
+    ++Found;
+    Start = Index + 1;
+    Out.push_back(Index);
+    Out.push_back(Hint.m_IdleSlots);
+    Out.push_back(Hint.m_Queued);
   }
   return Out;
 }
@@ -54,41 +73,23 @@
   return static_cast<std::int64_t>(Next - Base);
 }
 
-/// Adds a field to the difference when it changed.
-void append(Json &Fields, std::uint32_t &Mask, bool Changed, DeltaField Field, Json Value) {
-  if (Changed) {
-    Mask |= Field;
-    Fields.push_back(std::move(Value));
-  }
-}
+/// The fields of a difference, with the mask that names them.
+struct DeltaFields {
+  std::uint32_t m_Mask = 0;
+  Json m_Values = Json::array();
 
-void appendHints(Json &Fields, std::uint32_t &Mask, const std::vector<ServiceHint> &Base,
-                 const std::vector<ServiceHint> &Next) {
-  if (!sameServices(Next, Base)) {
-    append(Fields, Mask, true, DeltaHints, wire::toItems(Next));
-    return;
+  void add(DeltaField Field, Json Value) {
+    m_Mask |= Field;
+    m_Values.push_back(std::move(Value));
   }
-  Json Changes = hintChanges(Base, Next);
-  const bool Changed = !Changes.empty();
-  append(Fields, Mask, Changed, DeltaHintChanges, std::move(Changes));
-}
+};
 
-std::vector<std::uint8_t> encodeDelta(const Heartbeat &Base, const Heartbeat &Next) {
-  std::uint32_t Mask = 0;
-  Json Fields = Json::array();
-  append(Fields, Mask, Next.m_State != Base.m_State, DeltaState, raw(Next.m_State));
-  append(Fields, Mask, !sameVersions(Next.m_Versions, Base.m_Versions), DeltaVersions,
-         wire::toItems(Next.m_Versions));
-  appendHints(Fields, Mask, Base.m_Hints, Next.m_Hints);
-  append(Fields, Mask, Next.m_Avoid != Base.m_Avoid, DeltaAvoid, wire::toItems(Next.m_Avoid));
-  append(Fields, Mask, Next.m_Known != Base.m_Known, DeltaKnown, wire::toItems(Next.m_Known));
-  append(Fields, Mask, Next.m_Leaving != Base.m_Leaving, DeltaLeaving,
-         wire::toItems(Next.m_Leaving));
+std::vector<std::uint8_t> toBytes(std::int64_t SequenceStep, const DeltaFields &Fields) {
   Json Out = wire::startMessage(MessageType::HeartbeatDelta);
-  Out.push_back(difference(Next.m_Sequence, Base.m_Sequence));
-  if (Mask != 0) {
-    Out.push_back(Mask);
-    Out.insert(Out.end(), Fields.begin(), Fields.end());
+  Out.push_back(SequenceStep);
+  if (Fields.m_Mask != 0) {
+    Out.push_back(Fields.m_Mask);
+    Out.insert(Out.end(), Fields.m_Values.begin(), Fields.m_Values.end());
   }
   return wire::toBytes(Out);
 }
@@ -188,20 +189,49 @@
 
 } // namespace
 
+std::vector<std::uint8_t> DeltaEncoder::encodeHeartbeat(const Heartbeat &Value) {
+  const Heartbeat &Base = *m_Heartbeat;
+  Heartbeat Next = Value;
+  DeltaFields Fields;
+  if (Next.m_State != Base.m_State) {
+    Fields.add(DeltaState, raw(Next.m_State));
+  }
+  if (!sameVersions(Next.m_Versions, Base.m_Versions)) {
+    Fields.add(DeltaVersions, wire::toItems(Next.m_Versions));
+  }
+  if (!sameServices(Next.m_Hints, Base.m_Hints)) {
+    Fields.add(DeltaHints, wire::toItems(Next.m_Hints));
+  } else if (Json Changes = hintChanges(Base.m_Hints, Next.m_Hints, m_MaxHintChanges, m_NextHint);
+             !Changes.empty()) {
+    Fields.add(DeltaHintChanges, std::move(Changes));
+  }
+  if (Next.m_Avoid != Base.m_Avoid) {
+    Fields.add(DeltaAvoid, wire::toItems(Next.m_Avoid));
+  }
+  if (Next.m_Known != Base.m_Known) {
+    Fields.add(DeltaKnown, wire::toItems(Next.m_Known));
+  }
+  if (Next.m_Leaving != Base.m_Leaving) {
+    Fields.add(DeltaLeaving, wire::toItems(Next.m_Leaving));
+  }
+  const std::int64_t Step = difference(Next.m_Sequence, Base.m_Sequence);
+  m_Heartbeat = std::move(Next);
+  return toBytes(Step, Fields);
+}
+
 std::vector<std::uint8_t> DeltaEncoder::encode(const Message &Value) {
-  std::vector<std::uint8_t> Out;
   const auto *Beat = std::get_if<Heartbeat>(&Value);
   const auto *Ack = std::get_if<HeartbeatAck>(&Value);
   if (Beat != nullptr && m_Heartbeat && m_Heartbeat->m_Incarnation == Beat->m_Incarnation) {
-    Out = encodeDelta(*m_Heartbeat, *Beat);
-  } else if (Ack != nullptr && m_Ack && m_Ack->m_Incarnation == Ack->m_Incarnation) {
-    Out = encodeDelta(*m_Ack, *Ack);
-  } else {
-    Out = peer::encode(Value);
+    return encodeHeartbeat(*Beat);
+  }
+  if (Ack != nullptr && m_Ack && m_Ack->m_Incarnation == Ack->m_Incarnation) {
+    const HeartbeatAck Base = std::exchange(*m_Ack, *Ack);
+    return encodeDelta(Base, *Ack);
   }
   remember(Value, m_Heartbeat);
   remember(Value, m_Ack);
-  return Out;
+  return peer::encode(Value);
 }
 
 Result<DecodedMessage> DeltaDecoder::decode(std::span<const std::uint8_t> Frame) {
