--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -149,14 +149,21 @@
   return Out;
 }
 
-Json toItems(const std::vector<ServerId> &Values) {
+namespace {
+
+template <typename Id> Json idItems(const std::vector<Id> &Values) {
   Json Out = Json::array();
-  for (const ServerId Value : Values) {
+  for (const Id Value : Values) {
     Out.push_back(raw(Value));
   }
   return Out;
 }
 
+} // namespace
+
+Json toItems(const std::vector<ServerId> &Values) { return idItems(Values); }
+Json toItems(const std::vector<VmId> &Values) { return idItems(Values); }
+
 Json toItems(const std::vector<std::string> &Values) {
   Json Out = Json::array();
   for (const std::string &Value : Values) {
@@ -189,6 +196,10 @@
                                [](FieldReader &Entry) { return Entry.id<ServerId>("server"); });
 }
 
+std::vector<VmId> readVms(FieldReader &From, std::string_view Field) {
+  return From.values<VmId>(Field, [](FieldReader &Entry) { return Entry.id<VmId>("vm"); });
+}
+
 std::vector<std::string> readTexts(FieldReader &From, std::string_view Field) {
   return From.values<std::string>(Field, [](FieldReader &Entry) { return Entry.text("text"); });
 }
