--- a/include/vanillahill/idempotency/key_guard.hpp
+++ b/include/vanillahill/idempotency/key_guard.hpp
@@ -92,6 +92,10 @@
   /// \brief Takes new settings from the next call on.
   void updateSettings(const IdempotencySettings &Settings) { m_Settings = Settings; }
 
+  /// \brief What is known of one key, on one line, for logs and tests.
+  /// \return phase, owner, waiting requests and the state of its query; "none" for an unseen key
+  std::string describe(std::string_view Key) const;
+
   /// \brief Number of keys kept.
   std::size_t size() const { return m_Entries.size(); }
   /// \brief Bytes of kept answers.
--- a/include/vanillahill/membership/members.hpp
+++ b/include/vanillahill/membership/members.hpp
@@ -35,8 +35,6 @@
   std::uint64_t m_Incarnation = 0;
   /// This VM may dispatch keyed requests.
   bool m_HasLease = false;
-  /// This VM finishes what it has and takes nothing new.
-  bool m_Leaving = false;
   /// Since when the lease has held without a break.
   TimePoint m_LeaseSince{};
   /// A first attempt sent before this may have been seen by a VM that is gone.
--- a/src/idempotency/key_guard.cpp
+++ b/src/idempotency/key_guard.cpp
@@ -1,6 +1,9 @@
 #include "vanillahill/idempotency/key_guard.hpp"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
+#include <array>
 #include <random>
 
 namespace vanillahill::idempotency {
@@ -86,9 +89,6 @@
 }
 
 Reason KeyGuard::refusalOf(const kernel::KeyAge &Age, const membership::View &Members) const {
-  if (Members.m_Leaving) {
-    return Reason::NotServing;
-  }
   if (!Members.m_HasLease) {
     return Reason::NoLease;
   }
@@ -322,7 +322,7 @@
     // Of two VMs that ask at once, the one with the smaller id goes on.
     if (From < Self) {
       failAsk(Value, Reason::KeySealed, Out);
-      return peer::KeyState::Sealed;
+      return peer::KeyState::SealedBefore;
     }
     return peer::KeyState::Unknown;
   case Phase::Admitted:
@@ -334,7 +334,7 @@
     Value.m_Phase = Phase::Sealed;
     return peer::KeyState::NotRun;
   case Phase::Sealed:
-    return peer::KeyState::Sealed;
+    return peer::KeyState::SealedBefore;
   }
   return peer::KeyState::Unknown;
 }
@@ -350,12 +350,12 @@
   for (const membership::AskTarget &Target : Members.m_MustAsk) {
     Answer.m_Members.push_back(Target.m_Vm);
   }
-  auto Found = m_Entries.find(Query.m_Key);
-  if (Found == m_Entries.end() && !keysFull()) {
-    Found = insert(Query.m_Key);
-  }
+  const auto Found = m_Entries.find(Query.m_Key);
   // Without room a seal could not be kept, so the key counts as unknown.
-  if (Found != m_Entries.end()) {
+  if (Found == m_Entries.end() && !keysFull()) {
+    insert(Query.m_Key);
+    Answer.m_State = peer::KeyState::Sealed;
+  } else if (Found != m_Entries.end()) {
     keep(Found->second);
     Answer.m_State = stateForPeer(Found->second, From, Members.m_Self, Out);
     if (Answer.m_State == peer::KeyState::Answered) {
@@ -371,6 +371,12 @@
     Value.m_Blocked = Reason::KeyUnknown;
     return;
   }
+  const bool MayHaveRun = Value.m_First && Answer.m_State == peer::KeyState::SealedBefore;
+  if (MayHaveRun && Value.m_Blocked != Reason::KeyUnknown) {
+    // A repeat of this first attempt has asked before; its VM may have run it and be gone.
+    Value.m_Blocked = Reason::KeySealed;
+    return;
+  }
   const bool SameProcess = Answer.m_Incarnation == Target.m_Incarnation;
   const auto Known = [&](VmId Vm) {
     return Vm == Members.m_Self || std::ranges::binary_search(Value.m_Asked, Vm);
@@ -433,8 +439,8 @@
   }
   for (const std::string &Key : Late) {
     Entry &Value = m_Entries.find(Key)->second;
-    const bool SeenElsewhere = Value.m_Ask.m_Blocked == Reason::KeyUnknown;
-    failAsk(Value, SeenElsewhere ? Reason::KeyUnknown : Reason::KeyUnasked, Out);
+    const Reason Blocked = Value.m_Ask.m_Blocked;
+    failAsk(Value, Blocked == Reason::None ? Reason::KeyUnasked : Blocked, Out);
   }
 }
 
@@ -449,4 +455,25 @@
   return Next;
 }
 
+std::string KeyGuard::describe(std::string_view Key) const {
+  const auto Found = m_Entries.find(Key);
+  if (Found == m_Entries.end()) {
+    return "none";
+  }
+  constexpr std::array<std::string_view, 6> Names = {"asking",  "admitted", "sealed",
+                                                     "not-run", "answered", "unknown"};
+  const Entry &Value = Found->second;
+  std::string Text = fmt::format("{} owner {}", Names.at(static_cast<std::size_t>(Value.m_Phase)),
+                                 raw(Value.m_Owner));
+  for (const RequestId Waiting : Value.m_Joined) {
+    Text += fmt::format(" joined {}", raw(Waiting));
+  }
+  for (const membership::AskTarget &Target : Value.m_Ask.m_Pending) {
+    Text += fmt::format(" pending {}/{}", raw(Target.m_Vm), Target.m_Incarnation);
+  }
+  return Text + fmt::format(" query {} blocked {} until {}", Value.m_Ask.m_Query,
+                            kernel::toString(Value.m_Ask.m_Blocked),
+                            Value.m_Ask.m_Until.time_since_epoch().count());
+}
+
 } // namespace vanillahill::idempotency
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -236,7 +236,6 @@
   return View{.m_Self = m_SelfId,
               .m_Incarnation = m_Incarnation,
               .m_HasLease = hasLease(Now),
-              .m_Leaving = m_State == peer::VmState::Leaving,
               .m_LeaseSince = m_LeaseSince,
               .m_KnownSince = m_KnownSince,
               .m_MustAsk = m_MustAsk};
