Kernel: evidence of slowness from silence, overload told by each kind's deadline

Cause: one VM with all traffic (the bound) left 10 in 100 of its slots idle at 130 in 100 load: with heavy tails two servers in five had one long attempt and were avoided. Change: a cumulative sum per server grows with the time attempts run and shrinks with completions, so that silence is evidence and one long attempt is not; a queue counts as overloaded after a quarter of its kind's deadline instead of 100 ms, and may hold a request for half of it. Ruled out: connection limits (10 a server, 6 needed).

--- a/include/vanillahill/kernel/dispatcher.hpp
+++ b/include/vanillahill/kernel/dispatcher.hpp
@@ -380,10 +380,10 @@
                                .m_Kind = State.m_Kind,
                                .m_Server = Server.m_Settings.m_Id,
                                .m_Started = Now,
-                               .m_StalledAt = Now + stallTime(Kind),
                                .m_Slot = Chosen.m_Slot};
+    Server.updateEvidence(Now);
+    Server.m_UsualSeconds = Kind.m_UsualSeconds.value();
     ++Server.m_InFlight;
-    Server.m_StalledAt = std::min(Server.m_StalledAt, Attempt.m_StalledAt);
     if (!Chosen.m_Slot) {
       ++m_Overflowing;
     }
@@ -397,10 +397,6 @@
                            .m_Deadline = State.m_Deadline});
   }
 
-  static Duration stallTime(const KindState &Kind) {
-    return std::chrono::duration_cast<Duration>(Kind.usual() * ServerState::SuspectSlowness);
-  }
-
   /// Learns from the end of an attempt what it says of the server and of the kind.
   void noteServer(const AttemptState &Attempt, const AttemptEnded &Ended, TimePoint Now) {
     const std::optional<ServerIndex> Index = m_Servers.find(Attempt.m_Server);
@@ -408,8 +404,8 @@
       return;
     }
     ServerState &Server = m_Servers.at(*Index);
+    Server.updateEvidence(Now);
     --Server.m_InFlight;
-    Server.m_StalledAt = m_Requests.earliestStall(Attempt.m_Server);
     if (Ended.m_ServerLeaving) {
       Server.m_LeavingUntil = Now + LeavingMemory;
     }
@@ -421,6 +417,7 @@
     } else if (isServerError(*Ended.m_Reply)) {
       m_Ejection.failed(m_Servers, *Index, AttemptResult::Unknown, Now, m_Context.m_Random);
     } else {
+      Server.takeCompletion();
       noteTime(Server, m_Kinds[Attempt.m_Kind], Now - Attempt.m_Started, Now);
       m_Ejection.succeeded(m_Servers, *Index, Now);
     }
--- a/include/vanillahill/kernel/policy/queue.hpp
+++ b/include/vanillahill/kernel/policy/queue.hpp
@@ -54,10 +54,10 @@
 /// first and the others are refused early, so that what is served has time left.
 class WeightedDeadlineQueue {
 public:
-  /// A queue that was not empty for this long is overloaded.
-  static constexpr Duration StandingTime = std::chrono::milliseconds(100);
+  /// A queue that was not empty for this share of its kind's deadline is overloaded.
+  static constexpr double StandingShare = 0.25;
   /// Share of the deadline that a request may wait in an overloaded queue.
-  static constexpr double OverloadedWaitShare = 0.25;
+  static constexpr double OverloadedWaitShare = 0.5;
 
   /// \brief Adds a request; over the limit the oldest of the kind that earns least is dropped.
   /// \param Drops requests to refuse are appended
@@ -86,7 +86,7 @@
       dropLate(m_ByKind[Kind], Kinds[Kind], Now, Drops);
     }
     for (const KindIndex Kind : byDensity(Kinds)) {
-      serveKind(m_ByKind[Kind], Now, Start);
+      serveKind(m_ByKind[Kind], Kinds[Kind], Now, Start);
     }
   }
 
@@ -117,7 +117,7 @@
       const KindQueue &Queue = m_ByKind[Kind];
       if (!Queue.m_Items.empty()) {
         Earliest = std::min(Earliest, lastStart(Queue.m_Items.front(), Kinds[Kind]));
-        Earliest = std::min(Earliest, std::max(Queue.m_StandingSince + StandingTime,
+        Earliest = std::min(Earliest, std::max(Queue.m_StandingSince + standingTime(Kinds[Kind]),
                                                earlyStart(Queue.m_Items.front())));
       }
     }
@@ -140,9 +140,15 @@
     std::deque<Waiting> m_Items;
     TimePoint m_StandingSince{};
 
-    bool isOverloaded(TimePoint Now) const { return Now - m_StandingSince > StandingTime; }
+    bool isOverloaded(const KindState &Kind, TimePoint Now) const {
+      return Now - m_StandingSince > standingTime(Kind);
+    }
   };
 
+  static Duration standingTime(const KindState &Kind) {
+    return std::chrono::duration_cast<Duration>(Kind.m_Settings.m_Deadline * StandingShare);
+  }
+
   /// Latest start that still allows an answer in time.
   static TimePoint lastStart(const Waiting &Item, const KindState &Kind) {
     return Item.m_Deadline - std::min(Kind.usual(), Kind.m_Settings.m_Deadline / 2);
@@ -156,7 +162,7 @@
 
   void dropLate(KindQueue &Queue, const KindState &Kind, TimePoint Now,
                 std::vector<Dropped> &Drops) {
-    const bool Overloaded = Queue.isOverloaded(Now);
+    const bool Overloaded = Queue.isOverloaded(Kind, Now);
     while (!Queue.m_Items.empty()) {
       const Waiting &Oldest = Queue.m_Items.front();
       const bool Missed = lastStart(Oldest, Kind) < Now;
@@ -171,9 +177,10 @@
     }
   }
 
-  template <StartFunction F> void serveKind(KindQueue &Queue, TimePoint Now, F &Start) {
+  template <StartFunction F>
+  void serveKind(KindQueue &Queue, const KindState &Kind, TimePoint Now, F &Start) {
     while (!Queue.m_Items.empty()) {
-      const bool Newest = Queue.isOverloaded(Now);
+      const bool Newest = Queue.isOverloaded(Kind, Now);
       const Waiting Item = Newest ? Queue.m_Items.back() : Queue.m_Items.front();
       if (!Start(Item)) {
         return;
--- a/include/vanillahill/kernel/request_table.hpp
+++ b/include/vanillahill/kernel/request_table.hpp
@@ -44,7 +44,6 @@
   KindIndex m_Kind = 0;
   ServerId m_Server{};
   TimePoint m_Started{};
-  TimePoint m_StalledAt{};
   std::optional<SlotHandle> m_Slot;
   bool m_Cancelled = false;
 };
@@ -87,18 +86,6 @@
     return State;
   }
 
-  /// \brief When the next running attempt at a server counts as stalled; max() when none runs.
-  /// \note Complexity: linear in the attempts.
-  TimePoint earliestStall(ServerId Server) const {
-    TimePoint Earliest = TimePoint::max();
-    for (const auto &[Id, Attempt] : m_Attempts) {
-      if (Attempt.m_Server == Server && !Attempt.m_Cancelled) {
-        Earliest = std::min(Earliest, Attempt.m_StalledAt);
-      }
-    }
-    return Earliest;
-  }
-
   std::size_t size() const { return m_Requests.size(); }
   std::size_t attempts() const { return m_Attempts.size(); }
 
--- a/include/vanillahill/kernel/server_table.hpp
+++ b/include/vanillahill/kernel/server_table.hpp
@@ -38,8 +38,11 @@
   /// Time taken there as a multiple of the kind's usual time, at m_SlownessAt.
   Ewma m_Slowness{1.0, SlownessRate};
   TimePoint m_SlownessAt{};
-  /// When an attempt of this VM that still runs there takes unusually long; max() when none.
-  TimePoint m_StalledAt = TimePoint::max();
+  /// Evidence that the server is slow; see ServerState::isSuspect().
+  double m_Evidence = 0.0;
+  TimePoint m_EvidenceAt{};
+  /// Usual time of the attempts that run there, seconds; for the evidence.
+  double m_UsualSeconds = 0.05;
   Health m_Health = Health::Good;
   std::uint32_t m_Failures = 0;
   std::uint32_t m_Ejections = 0;
@@ -80,14 +83,32 @@
     m_SlownessAt = Now;
   }
 
-  /// \brief Whether the server is unusually slow at present.
-  bool isSuspect(TimePoint Now) const {
-    return Now >= m_StalledAt || slowness(Now) > SuspectSlowness;
+  /// \brief Evidence that the server is slow, a cumulative sum: it grows by one for each usual time
+  /// that an attempt runs there, and each attempt that completes takes EvidencePerCompletion away.
+  /// So one long attempt among others that complete is no evidence, and silence is. It fades, so
+  /// that a server which gets no requests is tried again.
+  double evidence(TimePoint Now) const {
+    constexpr double FadeSeconds = 0.5;
+    const std::chrono::duration<double> Age = Now - m_EvidenceAt;
+    const double Grown = Age.count() * m_InFlight / m_UsualSeconds;
+    return m_Evidence * std::exp(-Age.count() / FadeSeconds) + Grown;
+  }
+
+  /// \brief Brings the evidence up to date; called before m_InFlight changes.
+  void updateEvidence(TimePoint Now) {
+    m_Evidence = evidence(Now);
+    m_EvidenceAt = Now;
   }
 
-  /// An attempt that runs for this multiple of the usual time makes its server suspect.
-  static constexpr double SuspectSlowness = 3.0;
-  static constexpr double SlownessRate = 0.3;
+  /// \brief An attempt completed there.
+  void takeCompletion() { m_Evidence = std::max(0.0, m_Evidence - EvidencePerCompletion); }
+
+  /// \brief Whether the server is unusually slow at present.
+  bool isSuspect(TimePoint Now) const { return evidence(Now) > SuspectEvidence; }
+
+  static constexpr double SuspectEvidence = 6.0;
+  static constexpr double EvidencePerCompletion = 2.0;
+  static constexpr double SlownessRate = 0.1;
 };
 
 /// The backend servers of one service, in the order of the settings.
--- a/tests/unit-slots.cpp
+++ b/tests/unit-slots.cpp
@@ -176,7 +176,8 @@
 
 TEST_F(LendingTest, ASlowServerIsNotLent) {
   for (ServerState &Server : m_Servers.all()) {
-    Server.m_StalledAt = m_Clock.now();
+    Server.m_Evidence = 2 * ServerState::SuspectEvidence;
+    Server.m_EvidenceAt = m_Clock.now();
   }
   occupyAll(m_Mine);
   Actions Asked;
