--- a/include/vanillahill/net/detail/backend_connection.hpp
+++ b/include/vanillahill/net/detail/backend_connection.hpp
@@ -38,6 +38,8 @@
   void completeIfWritten();
   /// Ends the running exchange as one whose fate is told by the bytes sent, and closes.
   void fail(observe::ReplyFault Fault);
+  /// Counts and logs a fault of the running exchange.
+  void report(observe::ReplyFault Fault);
   void finish(ExchangeEnd End);
   /// Ends the running exchange; the connection is idle again.
   void release(ExchangeEnd End);
--- a/include/vanillahill/net/detail/caller_connection.hpp
+++ b/include/vanillahill/net/detail/caller_connection.hpp
@@ -52,6 +52,7 @@
   void submit();
   void sendContinue();
   void refuse(CallerFault Fault);
+  void report(CallerFault Fault);
   void write(bool KeepAlive);
   void onWritten(ErrorCode Failure, bool KeepAlive);
   void linger();
--- a/include/vanillahill/net/detail/types.hpp
+++ b/include/vanillahill/net/detail/types.hpp
@@ -39,6 +39,9 @@
 /// \return Errc::AddressUnusable with the system's reason
 Result<Acceptor> listenOn(asio::io_context &Io, std::string_view Address);
 
+/// \brief "IP:port" of an address.
+std::string toText(const Tcp::endpoint &Where);
+
 /// \brief Sends what is buffered, then closes both directions. Errors of a lost peer are ignored.
 void closeSocket(Socket &Stream);
 
--- a/include/vanillahill/net/entry.hpp
+++ b/include/vanillahill/net/entry.hpp
@@ -16,7 +16,7 @@
   VmSettings m_Vm;
   /// Higher at each start of the same VM.
   std::uint64_t m_Incarnation = 1;
-  /// Set in tests: in force from the start, and no platform is polled.
+  /// Set in tests: in force from the start, and no platform is polled: the VM is the only one.
   std::shared_ptr<const SiteSettings> m_Settings;
   /// SIGTERM and SIGINT stop the process gracefully.
   bool m_HandleSignals = false;
--- a/include/vanillahill/net/fault.hpp
+++ b/include/vanillahill/net/fault.hpp
@@ -2,6 +2,8 @@
 /// Faults of a caller's message or connection, as counters and answers name them.
 #pragma once
 
+#include "vanillahill/core/error.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
@@ -59,6 +61,9 @@
 /// \return lower case words joined by "_"
 std::string_view toString(CallerFault Value);
 
+/// \brief The error number under which a fault is logged.
+Errc numberOf(CallerFault Value);
+
 /// \brief The HTTP status that tells a caller of a fault.
 unsigned statusOf(CallerFault Value);
 
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -1,5 +1,7 @@
 #include "vanillahill/net/detail/backend_connection.hpp"
 
+#include "vanillahill/observe/log.hpp"
+
 #include <boost/asio/write.hpp>
 
 namespace vanillahill::net {
@@ -7,6 +9,21 @@
 namespace {
 
 constexpr std::chrono::seconds ConnectTimeout(1);
+
+Errc numberOf(observe::ReplyFault Fault) {
+  switch (Fault) {
+  case observe::ReplyFault::Cut:
+    return Errc::BackendReplyCut;
+  case observe::ReplyFault::Late:
+    return Errc::BackendTimeout;
+  case observe::ReplyFault::Malformed:
+    return Errc::HttpMalformed;
+  case observe::ReplyFault::OtherExchange:
+  case observe::ReplyFault::LeftOver:
+    return Errc::BackendReplyMismatch;
+  }
+  return Errc::BackendReplyMismatch;
+}
 constexpr MessageLimits ReplyLimits{.m_HeaderBytes = 16384, .m_BodyBytes = 16U << 20U};
 
 } // namespace
@@ -37,6 +54,8 @@
   }
   m_ConnectTimer.cancel();
   if (Failure) {
+    observe::logFault("backend_connect_failed", {Errc::BackendConnectFailed, "connect",
+                                                 toText(m_Endpoint), Failure.message()});
     close();
     return;
   }
@@ -180,7 +199,7 @@
     End = exchangeEnd(std::move(*m_Reply));
     m_Reply.reset();
   } else if (IsLate) {
-    m_Pool->m_Metrics.countReplyFault(observe::ReplyFault::Late);
+    report(observe::ReplyFault::Late);
   }
   finish(std::move(End));
   close();
@@ -196,13 +215,19 @@
 
 void BackendConnection::fail(observe::ReplyFault Fault) {
   if (m_Exchange) {
-    m_Pool->m_Metrics.countReplyFault(Fault);
+    report(Fault);
     finish({.m_Result =
                 m_MayHaveLeft ? kernel::AttemptResult::Unknown : kernel::AttemptResult::NotSent});
   }
   close();
 }
 
+void BackendConnection::report(observe::ReplyFault Fault) {
+  m_Pool->m_Metrics.countReplyFault(Fault);
+  observe::logFault("backend_reply_fault", {numberOf(Fault), "read reply", toText(m_Endpoint),
+                                            "exchange " + std::to_string(m_Exchange->m_Id)});
+}
+
 void BackendConnection::finish(ExchangeEnd End) {
   const auto Id = m_Exchange->m_Id;
   m_Exchange.reset();
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "vanillahill/net/detail/caller_connection.hpp"
 
 #include "vanillahill/net/detail/answer_message.hpp"
+#include "vanillahill/observe/log.hpp"
 
 #include <boost/asio/write.hpp>
 
@@ -153,12 +154,23 @@
 }
 
 void CallerConnection::refuse(CallerFault Fault) {
-  m_Server->m_Metrics.countFault(Fault);
+  report(Fault);
   const bool KeepAlive = !isFinal(Fault) && m_KeepAlive && !m_Server->isLeaving();
   m_Response = faultMessage(Fault, m_RefusalText, KeepAlive);
   write(KeepAlive);
 }
 
+void CallerConnection::report(CallerFault Fault) {
+  m_Server->m_Metrics.countFault(Fault);
+  if (!isFinal(Fault)) {
+    return;
+  }
+  ErrorCode Ignored;
+  const auto Caller = m_Stream.remote_endpoint(Ignored).address().to_string();
+  observe::logFault("caller_refused",
+                    {numberOf(Fault), "read request", Caller, std::string(toString(Fault))});
+}
+
 void CallerConnection::write(bool KeepAlive) {
   enter(CallerPhase::Answering);
   m_Serializer.emplace(m_Response);
@@ -226,7 +238,7 @@
     linger();
     return;
   case CallerPhase::Answering:
-    m_Server->m_Metrics.countFault(CallerFault::SlowAnswer);
+    report(CallerFault::SlowAnswer);
     close();
     return;
   default:
--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 struct Entry::State {
-  State(EntryOptions Given, std::unique_ptr<asio::io_context> Io, Acceptor Callers, Acceptor Admin);
+  State(EntryOptions Given, std::shared_ptr<asio::io_context> Io, Acceptor Callers, Acceptor Admin);
   ~State();
 
   void start();
@@ -69,7 +69,7 @@
 
   const EntryOptions m_Options;
   observe::Metrics m_Metrics;
-  const std::unique_ptr<asio::io_context> m_OwnedIo;
+  const std::shared_ptr<asio::io_context> m_OwnedIo;
   asio::io_context &m_Io;
   asio::executor_work_guard<asio::io_context::executor_type> m_Work;
   asio::steady_timer m_Timer;
@@ -84,7 +84,7 @@
   std::unique_ptr<peer::PeerLinks> m_Links;
 };
 
-Entry::State::State(EntryOptions Given, std::unique_ptr<asio::io_context> Io, Acceptor Callers,
+Entry::State::State(EntryOptions Given, std::shared_ptr<asio::io_context> Io, Acceptor Callers,
                     Acceptor Admin)
     : m_Options(std::move(Given)), m_OwnedIo(std::move(Io)), m_Io(*m_OwnedIo),
       m_Work(m_Io.get_executor()), m_Timer(m_Io), m_CloseTimer(m_Io), m_Signals(m_Io),
@@ -113,11 +113,7 @@
               [this](VmId From, peer::Message Value) {
                 m_Loop.post(kernel::PeerReceived{.m_From = From, .m_Message = std::move(Value)});
               },
-          .m_OnProblem =
-              [](const Error &Problem) {
-                observe::log(observe::LogLevel::Warning, "peer_link",
-                             {{"peer", Problem.m_Peer}, {"problem", toString(Problem)}});
-              },
+          .m_OnProblem = [](const Error &Problem) { observe::logFault("peer_link", Problem); },
           .m_Seed = nodeOptions(m_Options).m_Seed};
 }
 
@@ -140,7 +136,12 @@
   applySettings();
   m_Callers->start();
   m_Admin->start();
-  if (!m_Options.m_Settings) {
+  if (m_Options.m_Settings) {
+    const auto &Vm = m_Options.m_Vm;
+    m_Loop.post(kernel::VmListRead{{{.m_Name = Vm.m_Name,
+                                     .m_PeerAddress = Vm.m_PeerAddress,
+                                     .m_DataCenter = Vm.m_DataCenter}}});
+  } else {
     m_Platform->start();
   }
   if (m_Options.m_HandleSignals) {
@@ -247,15 +248,15 @@
 observe::Gauges Entry::State::gauges() const {
   return {.m_CallerConnections = m_Callers->connectionCount(),
           .m_BackendConnections = m_Pool->connectionCount(),
-          .m_PeerBytesSent = m_Links->counters().m_BytesOut,
-          .m_PeerBytesReceived = m_Links->counters().m_BytesIn};
+          .m_Links = m_Links->counters()};
 }
 
 Entry::Entry(std::unique_ptr<State> Opened) : m_State(std::move(Opened)) {}
 Entry::~Entry() = default;
 
 Result<std::unique_ptr<Entry>> Entry::open(EntryOptions Options) {
-  auto Io = std::make_unique<asio::io_context>(static_cast<int>(Options.m_Vm.m_Workers));
+  // Held here too: the acceptors that are moved from refer to it until this function returns.
+  const auto Io = std::make_shared<asio::io_context>(static_cast<int>(Options.m_Vm.m_Workers));
   auto Callers = listenOn(*Io, Options.m_Vm.m_CallerAddress);
   if (!Callers) {
     return Callers.error();
@@ -266,8 +267,8 @@
   }
   const std::string PeerAddress = Options.m_Vm.m_PeerAddress;
   try {
-    auto Opened = std::make_unique<State>(std::move(Options), std::move(Io), std::move(*Callers),
-                                          std::move(*Admin));
+    auto Opened =
+        std::make_unique<State>(std::move(Options), Io, std::move(*Callers), std::move(*Admin));
     return std::unique_ptr<Entry>(new Entry(std::move(Opened)));
   } catch (const std::system_error &Raised) {
     return Error{Raised.code(), "listen for peers", PeerAddress, Raised.what()};
--- a/src/net/fault.cpp
+++ b/src/net/fault.cpp
@@ -30,6 +30,20 @@
   return FaultTexts[static_cast<std::size_t>(Value)].m_Name;
 }
 
+Errc numberOf(CallerFault Value) {
+  switch (Value) {
+  case CallerFault::HeaderTooLong:
+    return Errc::HttpHeaderTooLong;
+  case CallerFault::BodyTooLong:
+    return Errc::HttpBodyTooLong;
+  case CallerFault::SlowRequest:
+  case CallerFault::SlowAnswer:
+    return Errc::HttpTimeout;
+  default:
+    return Errc::HttpMalformed;
+  }
+}
+
 unsigned statusOf(CallerFault Value) {
   return FaultTexts[static_cast<std::size_t>(Value)].m_Status;
 }
--- a/src/net/platform_json.cpp
+++ b/src/net/platform_json.cpp
@@ -8,6 +8,9 @@
 
 using nlohmann::json;
 
+/// The number that nlohmann's library gives a value of the wrong type.
+constexpr int WrongType = 302;
+
 Error malformed(std::string_view What, std::string Detail) {
   return {Errc::RecordMalformed, "read " + std::string(What), "platform", std::move(Detail)};
 }
@@ -22,9 +25,16 @@
   }
 }
 
+/// Reads an offset; get() alone would take a negative number for a large one.
+std::uint64_t readOffset(const json &From) {
+  if (!From.is_number_unsigned()) {
+    throw json::type_error::create(WrongType, "an offset must be a whole number from 0", &From);
+  }
+  return From.get<std::uint64_t>();
+}
+
 kernel::LogRecord readRecord(const json &From) {
-  return {.m_Offset = From.at("offset").get<std::uint64_t>(),
-          .m_Data = From.at("data").get<std::string>()};
+  return {.m_Offset = readOffset(From.at("offset")), .m_Data = From.at("data").get<std::string>()};
 }
 
 kernel::VmEntry readVm(const json &From) {
@@ -39,7 +49,7 @@
 Result<kernel::LogRead> parseLogPage(std::string_view Text) {
   return readJson<kernel::LogRead>("log page", Text, [](const json &Page) {
     kernel::LogRead Read;
-    Read.m_Next = Page.at("next").get<std::uint64_t>();
+    Read.m_Next = readOffset(Page.at("next"));
     for (const auto &Record : Page.at("records")) {
       Read.m_Records.push_back(readRecord(Record));
     }
--- a/src/net/types.cpp
+++ b/src/net/types.cpp
@@ -58,6 +58,12 @@
   return Result<Acceptor>(std::move(Listener));
 }
 
+std::string toText(const Tcp::endpoint &Where) {
+  const auto Host = Where.address().to_string();
+  const bool NeedsBrackets = Where.address().is_v6();
+  return (NeedsBrackets ? "[" + Host + "]" : Host) + ":" + std::to_string(Where.port());
+}
+
 void closeSocket(Socket &Stream) {
   ErrorCode Ignored;
   Stream.shutdown(Socket::shutdown_both, Ignored);
--- a/src/observe/status_metrics.cpp
+++ b/src/observe/status_metrics.cpp
@@ -129,6 +129,24 @@
   Versions.appendTo(Out);
 }
 
+void appendLinks(const peer::LinkCounters &Links, Families &Out) {
+  appendSingle("vanillahill_peer_sent_bytes_total", "Control bytes sent to other VMs",
+               MetricType::Counter, static_cast<double>(Links.m_BytesOut), Out);
+  appendSingle("vanillahill_peer_received_bytes_total", "Control bytes received from other VMs",
+               MetricType::Counter, static_cast<double>(Links.m_BytesIn), Out);
+  appendSingle("vanillahill_peer_links", "Connections to other VMs", MetricType::Gauge,
+               static_cast<double>(Links.m_Open), Out);
+  FamilyBuilder Faults("vanillahill_peer_faults_total", "Faults of connections to other VMs",
+                       MetricType::Counter);
+  Faults.add({{"reason", "malformed"}}, static_cast<double>(Links.m_Malformed));
+  Faults.add({{"reason", "unknown_type"}}, static_cast<double>(Links.m_UnknownTypes));
+  Faults.add({{"reason", "reconnect"}}, static_cast<double>(Links.m_Reconnects));
+  Faults.add({{"reason", "dropped"}}, static_cast<double>(Links.m_Dropped));
+  Faults.add({{"reason", "unsent"}}, static_cast<double>(Links.m_Unsent));
+  Faults.add({{"reason", "wrong_token"}}, static_cast<double>(Links.m_Refused));
+  Faults.appendTo(Out);
+}
+
 double processorSeconds() {
   constexpr double MicrosPerSecond = 1e6;
   rusage Usage{};
@@ -171,10 +189,7 @@
                static_cast<double>(Present.m_CallerConnections), Out);
   appendSingle("vanillahill_backend_connections", "Connections to backend servers",
                MetricType::Gauge, static_cast<double>(Present.m_BackendConnections), Out);
-  appendSingle("vanillahill_peer_sent_bytes_total", "Control bytes sent to other VMs",
-               MetricType::Counter, static_cast<double>(Present.m_PeerBytesSent), Out);
-  appendSingle("vanillahill_peer_received_bytes_total", "Control bytes received from other VMs",
-               MetricType::Counter, static_cast<double>(Present.m_PeerBytesReceived), Out);
+  appendLinks(Present.m_Links, Out);
   appendSingle("process_cpu_seconds_total", "Processor time of this process", MetricType::Counter,
                processorSeconds(), Out);
   appendSingle("process_resident_memory_bytes", "Resident memory of this process",
--- a/tests/net_fakes.hpp
+++ b/tests/net_fakes.hpp
@@ -178,6 +178,7 @@
   Service.m_Policy.m_Name = "naive";
   Site.m_Services.push_back(std::move(Service));
   Site.m_Membership.m_MaxVms = 1;
+  Site.m_Membership.m_LeaseMargin = std::chrono::milliseconds(1);
   return Site;
 }
 
