--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -137,7 +137,7 @@
   m_Callers->start();
   m_Admin->start();
   if (m_Options.m_Settings) {
-    const auto &Vm = m_Options.m_Vm;
+    const VmSettings &Vm = m_Options.m_Vm;
     m_Loop.post(kernel::VmListRead{{{.m_Name = Vm.m_Name,
                                      .m_PeerAddress = Vm.m_PeerAddress,
                                      .m_DataCenter = Vm.m_DataCenter}}});
