--- a/tests/unit-entry.cpp
+++ b/tests/unit-entry.cpp
@@ -98,6 +98,13 @@
     ASSERT_FALSE(Opened);
     EXPECT_EQ(Opened.error().m_Code, make_error_code(Errc::AddressUnusable));
   }
+  EntryOptions Options;
+  Options.m_Vm = {.m_CallerAddress = "127.0.0.1:0",
+                  .m_PeerAddress = "203.0.113.1:0",
+                  .m_AdminAddress = "127.0.0.1:0"};
+  const auto Opened = Entry::open(Options);
+  ASSERT_FALSE(Opened);
+  EXPECT_EQ(Opened.error().m_Step, "listen for peers");
 }
 
 } // namespace
