--- a/include/vanillahill/observe/metrics.hpp
+++ b/include/vanillahill/observe/metrics.hpp
@@ -4,6 +4,7 @@
 
 #include "vanillahill/kernel/status.hpp"
 #include "vanillahill/net/fault.hpp"
+#include "vanillahill/peer/link.hpp"
 #include "vanillahill/settings/settings.hpp"
 
 #include <memory>
@@ -34,8 +35,7 @@
 struct Gauges {
   std::size_t m_CallerConnections = 0;
   std::size_t m_BackendConnections = 0;
-  std::uint64_t m_PeerBytesSent = 0;
-  std::uint64_t m_PeerBytesReceived = 0;
+  peer::LinkCounters m_PeerLinks{};
 };
 
 /// Counters and histograms that only grow. Thread safe.
--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -252,8 +252,7 @@
 observe::Gauges Entry::State::gauges() const {
   return {.m_CallerConnections = m_Callers->connectionCount(),
           .m_BackendConnections = m_Pool->connectionCount(),
-          .m_PeerBytesSent = m_Links->counters().m_BytesOut,
-          .m_PeerBytesReceived = m_Links->counters().m_BytesIn};
+          .m_PeerLinks = m_Links->counters()};
 }
 
 Entry::Entry(std::unique_ptr<State> Opened) : m_State(std::move(Opened)) {}
--- a/src/observe/status_metrics.cpp
+++ b/src/observe/status_metrics.cpp
@@ -129,6 +129,27 @@
   Versions.appendTo(Out);
 }
 
+void appendPeerLinks(const peer::LinkCounters &Links, Families &Out) {
+  appendSingle("vanillahill_peer_sent_bytes_total", "Control bytes sent to other VMs",
+               MetricType::Counter, static_cast<double>(Links.m_BytesOut), Out);
+  appendSingle("vanillahill_peer_received_bytes_total", "Control bytes received from other VMs",
+               MetricType::Counter, static_cast<double>(Links.m_BytesIn), Out);
+  appendSingle("vanillahill_peer_links_open", "Open links to other VMs", MetricType::Gauge,
+               static_cast<double>(Links.m_Open), Out);
+  FamilyBuilder Events("vanillahill_peer_link_events_total", "Faults and losses of peer links",
+                       MetricType::Counter);
+  const auto Add = [&Events](const char *Event, std::uint64_t Count) {
+    Events.add({{"event", Event}}, static_cast<double>(Count));
+  };
+  Add("refused", Links.m_Refused);
+  Add("malformed", Links.m_Malformed);
+  Add("unknown_type", Links.m_UnknownTypes);
+  Add("reconnected", Links.m_Reconnects);
+  Add("dropped", Links.m_Dropped);
+  Add("unsent", Links.m_Unsent);
+  Events.appendTo(Out);
+}
+
 double processorSeconds() {
   constexpr double MicrosPerSecond = 1e6;
   rusage Usage{};
@@ -171,10 +192,7 @@
                static_cast<double>(Present.m_CallerConnections), Out);
   appendSingle("vanillahill_backend_connections", "Connections to backend servers",
                MetricType::Gauge, static_cast<double>(Present.m_BackendConnections), Out);
-  appendSingle("vanillahill_peer_sent_bytes_total", "Control bytes sent to other VMs",
-               MetricType::Counter, static_cast<double>(Present.m_PeerBytesSent), Out);
-  appendSingle("vanillahill_peer_received_bytes_total", "Control bytes received from other VMs",
-               MetricType::Counter, static_cast<double>(Present.m_PeerBytesReceived), Out);
+  appendPeerLinks(Present.m_PeerLinks, Out);
   appendSingle("process_cpu_seconds_total", "Processor time of this process", MetricType::Counter,
                processorSeconds(), Out);
   appendSingle("process_resident_memory_bytes", "Resident memory of this process",
--- a/tests/unit-entry.cpp
+++ b/tests/unit-entry.cpp
@@ -50,6 +50,8 @@
   EXPECT_NE(Text.find("vanillahill_wrong_tokens_total 8"), std::string::npos);
   EXPECT_NE(Text.find("vanillahill_request_seconds_count{kind=\"desk/look\""), std::string::npos);
   EXPECT_NE(Text.find("vanillahill_completed_total{kind=\"desk/look\"} 1"), std::string::npos);
+  EXPECT_NE(Text.find("vanillahill_peer_link_events_total{event=\"refused\"} 0"),
+            std::string::npos);
   EXPECT_NE(Vm.admin("/status").body().find("\"state\": \"serving\""), std::string::npos);
   EXPECT_EQ(Vm.admin("/other").result_int(), 404U);
 }
