--- a/tests/unit-peer-link.cpp
+++ b/tests/unit-peer-link.cpp
@@ -1,5 +1,6 @@
 #include "vanillahill/peer/codec.hpp"
 #include "vanillahill/peer/link.hpp"
+#include "vanillahill/relay/relay.hpp"
 
 #include "../src/peer/frame_reader.hpp"
 #include "../src/peer/h2_session.hpp"
@@ -8,6 +9,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <gtest/gtest.h>
@@ -84,15 +86,16 @@
     Seen->note([&](Log &To) { To.m_Problems.push_back(Value); });
   };
   Out.m_MaxFrameBytes = 65536;
-  Out.m_IdleTimeout = Patience;
   return Out;
 }
 
 /// One VM of a test.
 class Vm {
 public:
-  Vm(Workers &Threads, std::string Name, std::string Token = "secret", std::uint16_t Port = 0)
-      : m_Name(std::move(Name)), m_Links(Threads.m_Io, options(std::move(Token), Port)) {}
+  Vm(Workers &Threads, std::string Name, std::string Token = "secret", std::uint16_t Port = 0,
+     Duration IdleTimeout = Patience)
+      : m_Name(std::move(Name)),
+        m_Links(Threads.m_Io, options(std::move(Token), Port, IdleTimeout)) {}
 
   kernel::VmEntry entry() const {
     return {.m_Name = m_Name,
@@ -122,11 +125,12 @@
   LinkCounters counters() const { return m_Links.counters(); }
 
 private:
-  PeerLinksOptions options(std::string Token, std::uint16_t Port) const {
+  PeerLinksOptions options(std::string Token, std::uint16_t Port, Duration IdleTimeout) const {
     PeerLinksOptions Out = recordingOptions(m_Seen);
     Out.m_SelfName = m_Name;
     Out.m_PeerAddress = "127.0.0.1:" + std::to_string(Port);
     Out.m_PeerToken = std::move(Token);
+    Out.m_IdleTimeout = IdleTimeout;
     return Out;
   }
 
@@ -362,6 +366,47 @@
   EXPECT_EQ(A.counters().m_Reconnects, 1U);
 }
 
+TEST(PeerLink, SilentConnectionIsOpenedAnew) {
+  Workers Threads;
+  constexpr Duration IdleTimeout = std::chrono::milliseconds(20);
+  Vm A(Threads, "a", "secret", 0, IdleTimeout);
+  Vm B(Threads, "b");
+  A.m_Links.connect(std::vector{B.entry()});
+  ASSERT_TRUE(A.awaitOpen(B, 2));
+  EXPECT_TRUE(A.awaitProblem(Errc::PeerConnectionLost));
+  EXPECT_TRUE(B.awaitOpen(A, 2));
+}
+
+TEST(PeerLink, LinkThroughARelayHealsAfterACut) {
+  Workers Threads;
+  Vm A(Threads, "a");
+  Vm B(Threads, "b");
+  boost::asio::io_context RelayIo(1);
+  relay::Relay Between(RelayIo);
+  kernel::VmEntry Far = B.entry();
+  Far.m_PeerAddress =
+      Between.open({.m_Listen = "127.0.0.1:0", .m_Target = Far.m_PeerAddress}).value();
+  std::thread Thread([&] { RelayIo.run(); });
+  const auto Cut = [&](bool Value) {
+    boost::asio::post(RelayIo, [&Between, &Far, Value] {
+      relay::FaultChange Change;
+      Change.m_Listen = Far.m_PeerAddress;
+      Change.m_Cut = Value;
+      EXPECT_TRUE(Between.apply(std::span(&Change, 1)).has_value());
+    });
+  };
+  A.m_Links.connect(std::vector{Far});
+  EXPECT_TRUE(A.awaitOpen(B));
+  Cut(true);
+  EXPECT_TRUE(A.awaitProblem(Errc::PeerConnectionLost));
+  Cut(false);
+  EXPECT_TRUE(A.awaitOpen(B, 2) && B.awaitOpen(A, 2));
+  A.query(B, 3);
+  EXPECT_TRUE(B.awaitQueries(A.id(), 1));
+  RelayIo.stop();
+  Thread.join();
+}
+
 TEST(PeerLink, StopSendsWhatIsQueued) {
   Workers Threads;
   Vm A(Threads, "a");
