Configuration renewal: schedule by the retention in force, skewed delays; tests

Cause: a test of many retentions found that the first checkpoint was scheduled by the default retention of 24 h before the published one was taken, so records aged out unrenewed. At a change every 3 s no read was empty, so no VM re-armed and 100 VMs appended up to 64 checkpoints a second. Change: the time is set after the settings are taken, and again when a new retention makes it too late. A delay is the latest of 8 draws, so that the first VM is well ahead of the rest. Ruled out: wall-clock times in records to tell a checkpoint's age (clocks differ).

--- a/include/vanillahill/config/replica.hpp
+++ b/include/vanillahill/config/replica.hpp
@@ -99,12 +99,15 @@
 
   void count(const std::vector<RecordOutcome> &Outcomes);
   void refresh(TimePoint Now, kernel::Actions &Out);
-  void scheduleFirst(TimePoint Now);
+  void takeSettings(kernel::Actions &Out);
+  /// At first, and when a new retention makes the time set too late.
+  void scheduleCheckpoint(TimePoint Now);
   void scheduleAfterChanges(TimePoint Now);
   void onCheckpoint(const CheckpointSeen &Seen);
   void markHead(const kernel::LogRead &Read, TimePoint Now);
   bool isBehind(std::span<const peer::FileVersion> Versions) const;
   Duration retention() const;
+  /// Between From and To, more often near To.
   Duration randomDelay(Duration From, Duration To);
 
   ReplicaOptions m_Options;
--- a/src/config/replica.cpp
+++ b/src/config/replica.cpp
@@ -13,8 +13,13 @@
 constexpr int RepeatShare = 16;
 /// A mark of the log's end is kept for each of these shares.
 constexpr int MarkShare = 64;
+/// A delay is the latest of as many draws: the first of many VMs is then well ahead of the second,
+/// which sees the checkpoint of the first and sets itself a new time.
+constexpr int DelayDraws = 8;
+/// A read with fewer records than this ended at the end of the log.
+constexpr std::size_t MinPageRecords = 64;
 /// Spreads the checkpoints of many VMs after many changes.
-constexpr Duration ChangesSpread = std::chrono::seconds(10);
+constexpr Duration ChangesSpread = std::chrono::seconds(60);
 /// Between two pulls of one VM.
 constexpr Duration PullPeriod = std::chrono::milliseconds(500);
 /// Between two pulls while nothing is in force.
@@ -133,10 +138,14 @@
 }
 
 void Replica::refresh(TimePoint Now, kernel::Actions &Out) {
-  const Replay &State = m_Log.state();
-  if (!State.files().empty()) {
-    scheduleFirst(Now);
+  takeSettings(Out);
+  if (!m_Log.state().files().empty()) {
+    scheduleCheckpoint(Now);
   }
+}
+
+void Replica::takeSettings(kernel::Actions &Out) {
+  const Replay &State = m_Log.state();
   const std::uint64_t Base = State.versionOf(BaseFile);
   const std::uint64_t Overlay = State.versionOf(overlayFile(m_Options.m_Site));
   if (Base == m_BaseVersion && Overlay == m_OverlayVersion) {
@@ -152,8 +161,9 @@
   }
 }
 
-void Replica::scheduleFirst(TimePoint Now) {
-  if (m_CheckpointDue == TimePoint::max()) {
+void Replica::scheduleCheckpoint(TimePoint Now) {
+  const bool TooLate = m_CheckpointDue > Now + retention() / LatestShare;
+  if (TooLate) {
     m_CheckpointDue = Now + randomDelay(Duration::zero(), retention() / EarliestShare);
   }
 }
@@ -182,7 +192,7 @@
 }
 
 void Replica::markHead(const kernel::LogRead &Read, TimePoint Now) {
-  if (!Read.m_Records.empty()) {
+  if (Read.m_Records.size() >= MinPageRecords) {
     return;
   }
   const bool Due =
@@ -201,7 +211,11 @@
 
 Duration Replica::randomDelay(Duration From, Duration To) {
   std::uniform_int_distribution<Duration::rep> Draw(From.count(), To.count());
-  return Duration(Draw(m_Random));
+  Duration::rep Latest = From.count();
+  for (int Index = 0; Index < DelayDraws; ++Index) {
+    Latest = std::max(Latest, Draw(m_Random));
+  }
+  return Duration(Latest);
 }
 
 } // namespace vanillahill::config
