--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -4,9 +4,11 @@
 #include "vanillahill/ctl/vm_status.hpp"
 #include "vanillahill/platform/log_client.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
 #include <iterator>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <spdlog/fmt/fmt.h>
@@ -17,8 +19,10 @@
 namespace {
 
 using Json = nlohmann::ordered_json;
+using SortedJson = nlohmann::json;
 using Publisher = config::Publisher<platform::LogClient>;
 
+constexpr const char *NotJson = ": not JSON, or a name stands twice in an object; run check";
 constexpr const char *Program = "vanillahill-ctl: ";
 constexpr Duration StatusPause = std::chrono::milliseconds(100);
 constexpr Duration CallTimeout = std::chrono::seconds(3);
@@ -209,8 +213,32 @@
   }
 }
 
-Json contentOf(const config::FileState *State) {
-  return State == nullptr ? Json::object() : Json::parse(State->m_Change.m_Content);
+SortedJson contentOf(const config::FileState *State) {
+  return State == nullptr ? SortedJson::object() : SortedJson::parse(State->m_Change.m_Content);
+}
+
+/// One step of a JSON patch (RFC 6902) as "pointer: old -> new".
+void printStep(const SortedJson &Step, const SortedJson &Current) {
+  const auto Path = Step.at("path").get<std::string>();
+  const SortedJson::json_pointer At(Path);
+  const std::string Old = Current.contains(At) ? Current.at(At).dump() : "nothing";
+  const std::string New = Step.contains("value") ? Step["value"].dump() : "nothing";
+  std::cout << Path << ": " << Old << " -> " << New << '\n';
+}
+
+/// The newest version of each file on any of the VMs.
+std::vector<peer::FileVersion> newestOn(const std::vector<VmStatus> &Vms) {
+  std::map<std::string, std::uint64_t> Newest;
+  for (const VmStatus &Vm : Vms) {
+    for (const peer::FileVersion &Each : Vm.m_Versions) {
+      Newest[Each.m_File] = std::max(Newest[Each.m_File], Each.m_Version);
+    }
+  }
+  std::vector<peer::FileVersion> Versions;
+  for (const auto &[File, Version] : Newest) {
+    Versions.push_back({.m_File = File, .m_Version = Version});
+  }
+  return Versions;
 }
 
 } // namespace
@@ -246,27 +274,23 @@
   if (!Text) {
     return fail(Text.error());
   }
-  const Json Wanted = Json::parse(*Text, nullptr, false);
-  if (Wanted.is_discarded()) {
-    complain(Given.m_Path + ": not JSON");
+  const std::optional<std::string> Canonical = config::canonicalJson(*Text);
+  if (!Canonical) {
+    complain(Given.m_Path + NotJson);
     return ExitInvalid;
   }
   if (!readLog(Reader, Given)) {
     return ExitUnavailable;
   }
-  const Json Current = contentOf(Reader.follower().state().find(Given.m_Name));
-  const Json Patch = Json::diff(Json::parse(nlohmann::json::parse(Current.dump()).dump()),
-                                Json::parse(nlohmann::json::parse(*Text).dump()));
+  const SortedJson Wanted = SortedJson::parse(*Canonical);
+  const SortedJson Current = contentOf(Reader.follower().state().find(Given.m_Name));
+  const SortedJson Patch = SortedJson::diff(Current, Wanted);
   if (Given.m_Json) {
     std::cout << Patch.dump(2) << '\n';
     return Patch.empty() ? ExitOk : ExitDifferent;
   }
-  for (const Json &Step : Patch) {
-    const auto Path = Step.at("path").get<std::string>();
-    const Json::json_pointer At(Path);
-    const std::string Old = Current.contains(At) ? Current.at(At).dump() : "nothing";
-    const std::string New = Step.contains("value") ? Step["value"].dump() : "nothing";
-    std::cout << Path << ": " << Old << " -> " << New << '\n';
+  for (const SortedJson &Step : Patch) {
+    printStep(Step, Current);
   }
   return Patch.empty() ? ExitOk : ExitDifferent;
 }
@@ -281,7 +305,7 @@
     Content = *Text;
   }
   if (!config::canonicalJson(Content)) {
-    complain(Given.m_Path + ": not JSON, or a name stands twice in an object; run check");
+    complain(Given.m_Path + NotJson);
     return ExitInvalid;
   }
   const config::Draft Wanted{.m_File = Given.m_Name,
@@ -331,12 +355,10 @@
   Publisher Reader(Log);
   const bool LogRead = readLog(Reader, Given);
   const std::vector<VmStatus> Vms = askAll(Given);
-  std::vector<peer::FileVersion> Versions = versionsOf(Reader.follower().state());
+  const std::vector<peer::FileVersion> Versions =
+      LogRead ? versionsOf(Reader.follower().state()) : newestOn(Vms);
   if (!LogRead) {
-    complain("the newest versions are not known; each VM shows its own");
-    for (const VmStatus &Vm : Vms) {
-      Versions = Vm.m_Versions.size() > Versions.size() ? Vm.m_Versions : Versions;
-    }
+    complain("versions in the log are not known; LAG is behind the newest VM shown");
   }
   printStatus(Given, Vms, Versions);
   if (!LogRead) {
