--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -235,6 +235,7 @@
     }
   }
   std::vector<peer::FileVersion> Versions;
+  Versions.reserve(Newest.size());
   for (const auto &[File, Version] : Newest) {
     Versions.push_back({.m_File = File, .m_Version = Version});
   }
