--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -361,7 +361,8 @@
         base_path.write_text(json.dumps(self.base(), indent=2))
         overlay_path.write_text(json.dumps(self.overlay(), indent=2))
         for file, path in (("base", base_path), (f"overlay/{self.site.name}", overlay_path)):
-            record = subprocess.run(["/tmp/ld/rec", file, str(path), path.stem], check=True, capture_output=True).stdout
+            record = subprocess.run([str(self.build / "vanillahill-record"), file, str(path)],
+                                    check=True, capture_output=True).stdout
             call(self.platform, "POST", "/log", record)
 
     def fault(self, script):
