--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -361,9 +361,24 @@
         base_path.write_text(json.dumps(self.base(), indent=2))
         overlay_path.write_text(json.dumps(self.overlay(), indent=2))
         for file, path in (("base", base_path), (f"overlay/{self.site.name}", overlay_path)):
-            record = subprocess.run([str(self.build / "vanillahill-record"), file, str(path)],
-                                    check=True, capture_output=True).stdout
-            call(self.platform, "POST", "/log", record)
+            code, text = self.publish_file(file, path)
+            if code != 0:
+                raise DeploymentError(f"publish {file}: {text}")
+
+    def control_tool(self, *arguments):
+        """Runs the operator's command; returns (exit code, output)."""
+        environment = {**os.environ, "VANILLAHILL_TOKEN": ADMIN_TOKEN}
+        done = subprocess.run([str(self.build / "vanillahill-ctl"), *map(str, arguments)],
+                              capture_output=True, text=True, check=False, env=environment)
+        return done.returncode, done.stdout + done.stderr
+
+    def publish_file(self, file, path, operator="demo", vms=(), extra=()):
+        """Publishes a settings file; with VMs, waits until it is in force on each of them."""
+        wait = ["--wait"] if vms else []
+        for name in vms:
+            wait += ["--vm", self.admin(name)]
+        return self.control_tool("--json", "publish", path, "--platform", self.platform,
+                                 "--name", file, "--operator", operator, *extra, *wait)
 
     def fault(self, script):
         """Starts a fault script at the backend servers."""
