--- a/src/kernel/slots.cpp
+++ b/src/kernel/slots.cpp
@@ -376,7 +376,10 @@
     }
   }
   for (const OpenAsk &Ask : m_Asks) {
-    Earliest = std::min(Earliest, Ask.m_Expires);
+    // One that has expired is forgotten by the next ask and wants no timer.
+    if (Now < Ask.m_Expires) {
+      Earliest = std::min(Earliest, Ask.m_Expires);
+    }
   }
   if (Now < m_QuietUntil) {
     Earliest = std::min(Earliest, m_QuietUntil);
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -314,7 +314,8 @@
   for (const auto &[Id, Value] : m_Peers) {
     Next = std::min(Next, Value.m_NextSend);
   }
-  if (m_ListedAt && !m_Joined) {
+  const bool Listening = m_ListedAt && !m_Joined && m_Peers.empty();
+  if (Listening) {
     Next = std::min(Next, *m_ListedAt + m_Settings.m_LeaseMargin);
   }
   return Next;
--- a/tests/unit-members.cpp
+++ b/tests/unit-members.cpp
@@ -113,6 +113,17 @@
   EXPECT_EQ(Vms.at("a").view(Vms.m_Now).m_MustAsk.size(), 2U) << "a asks the newcomer too";
 }
 
+TEST(Members, TimerOfAVmThatCannotJoinStaysInTheFuture) {
+  Mesh Vms({"a", "b"});
+  Vms.list({"a", "b"});
+  Vms.m_Cut.insert(idOf<VmId>("b"));
+  Vms.run(2s);
+  EXPECT_FALSE(Vms.at("a").joined());
+  kernel::Actions Out;
+  Vms.at("a").tick(Vms.m_Now, Out, {});
+  EXPECT_GT(Vms.at("a").nextTimer(), Vms.m_Now);
+}
+
 TEST(Members, IsolatedVmLosesItsLease) {
   Mesh Vms({"a", "b", "c"});
   Vms.list({"a", "b", "c"});
