Kernel: one budget of asks per VM; a VM without a slot is never stuck

Cause: the bound on messages that ask for slots was one for each service, so 93 services could have sent 11,160 a second from one VM; and where VMs outnumber a service's slots, a VM that owns none could wait in vain while the fleet is busy. Change: AskBudget, 90 a second and a burst of 24 over all services of a VM (about 9 KB/s with loans and returns); a request that waited half its usual time may go without a slot from a VM that holds none. Ruled out: a share of the budget per service, since load moves between services.

--- a/include/vanillahill/kernel/dispatcher.hpp
+++ b/include/vanillahill/kernel/dispatcher.hpp
@@ -258,7 +258,7 @@
                   [&](const Waiting &Item) { return tryStart(Item, Now, Out); });
     answerDropped(Out);
     if (m_Queue.size() > 0) {
-      m_Slots.ask(demand(Now), m_Context.m_Random, Out);
+      m_Slots.ask(demand(Now), m_Context.m_Random, m_Context.m_Asks, Out);
     }
     m_Slots.flush(m_Servers, demand(Now), Out);
     checkInvariants();
@@ -272,8 +272,8 @@
       answer(State, outcomeWithout(State), Why, Out);
       return true;
     }
-    const bool MayUseSuspect = Now - Item.m_Since > m_Kinds[Item.m_Kind].usual() / 2;
-    const std::optional<Pick> Chosen = pick(State, MayUseSuspect, Now);
+    const bool WaitedLong = Now - Item.m_Since > m_Kinds[Item.m_Kind].usual() / 2;
+    const std::optional<Pick> Chosen = pick(State, WaitedLong, Now);
     if (!Chosen) {
       return false;
     }
@@ -321,14 +321,18 @@
     return false;
   }
 
-  std::optional<Pick> pick(const RequestState &State, bool MayUseSuspect, TimePoint Now) {
+  /// A request that waited long may go to a suspect server, and without a slot from a VM that holds
+  /// none: with more VMs than slots, asking may fail for long.
+  std::optional<Pick> pick(const RequestState &State, bool WaitedLong, TimePoint Now) {
     if (std::optional<Pick> Held = pickHeld(State, false, Now)) {
       return Held;
     }
-    if (std::optional<Pick> Overflow = pickOverflow(State, Now)) {
+    const bool MayOverflow =
+        m_Slots.mayOverflow(m_Servers, Now) || (WaitedLong && m_Slots.held() == 0);
+    if (std::optional<Pick> Overflow = MayOverflow ? pickOverflow(State, Now) : std::nullopt) {
       return Overflow;
     }
-    return MayUseSuspect ? pickHeld(State, true, Now) : std::nullopt;
+    return WaitedLong ? pickHeld(State, true, Now) : std::nullopt;
   }
 
   std::optional<Pick> pickHeld(const RequestState &State, bool MayUseSuspect, TimePoint Now) {
@@ -341,11 +345,11 @@
     return Pick{.m_Server = Server, .m_Slot = m_Slots.take(m_Servers, Server, Now)};
   }
 
-  /// A server without a slot of this VM, while most slots of the service are idle.
+  /// A server that is used without a slot.
   std::optional<Pick> pickOverflow(const RequestState &State, TimePoint Now) {
     constexpr std::uint32_t LeastOverflow = 2;
     const std::uint32_t Most = std::max(LeastOverflow, m_Slots.held());
-    if (m_Overflowing >= Most || !m_Slots.mayOverflow(m_Servers, Now)) {
+    if (m_Overflowing >= Most) {
       return std::nullopt;
     }
     collect(State, false, Now, [&](ServerIndex Index) {
--- a/include/vanillahill/kernel/dispatcher_base.hpp
+++ b/include/vanillahill/kernel/dispatcher_base.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "vanillahill/kernel/events.hpp"
+#include "vanillahill/kernel/policy/slots.hpp"
 #include "vanillahill/kernel/status.hpp"
 #include "vanillahill/settings/settings.hpp"
 
@@ -31,6 +32,7 @@
   VmId m_Self{};
   DispatchGate *m_Gate = nullptr;
   std::mt19937_64 m_Random;
+  AskBudget m_Asks;
   std::uint64_t m_NextAttempt = 1;
 };
 
--- a/include/vanillahill/kernel/policy/slots.hpp
+++ b/include/vanillahill/kernel/policy/slots.hpp
@@ -21,19 +21,43 @@
   TimePoint m_Now{};
 };
 
+/// Bounds the messages of one VM that ask for slots, over all its services, so that control traffic
+/// stays within its budget whatever the load is.
+class AskBudget {
+public:
+  static constexpr double AsksPerSecond = 90.0;
+  static constexpr double Burst = 24.0;
+
+  /// \brief Takes one message from the budget. \return whether one was left
+  bool take(TimePoint Now) {
+    const std::chrono::duration<double> Passed = Now - m_At;
+    m_Tokens = std::min(Burst, m_Tokens + Passed.count() * AsksPerSecond);
+    m_At = Now;
+    if (m_Tokens < 1.0) {
+      return false;
+    }
+    m_Tokens -= 1.0;
+    return true;
+  }
+
+private:
+  double m_Tokens = Burst;
+  TimePoint m_At{};
+};
+
 /// Decides on how many requests one VM may have at a server.
 template <typename T>
 concept SlotPolicy = requires(T Slots, const T &Const, const ServerTable &Servers,
                               ServiceId Service, VmId Vm, std::span<const VmId> Alive,
                               ServerIndex Index, SlotHandle Handle, Demand Wanted,
-                              std::mt19937_64 &Random, const peer::Message &Message, Actions &Out,
-                              TimePoint Now) {
+                              std::mt19937_64 &Random, AskBudget &Budget,
+                              const peer::Message &Message, Actions &Out, TimePoint Now) {
   { Slots.assign(Service, Servers, Vm, Alive) } -> std::same_as<void>;
   { Slots.idleByServer(Servers, Now) } -> std::same_as<std::span<const std::uint32_t>>;
   { Slots.take(Servers, Index, Now) } -> std::same_as<std::optional<SlotHandle>>;
   { Slots.release(Handle, Wanted) } -> std::same_as<void>;
   { Slots.mayOverflow(Servers, Now) } -> std::same_as<bool>;
-  { Slots.ask(Wanted, Random, Out) } -> std::same_as<void>;
+  { Slots.ask(Wanted, Random, Budget, Out) } -> std::same_as<void>;
   { Slots.onPeer(Vm, Message, Servers, Wanted, Out) } -> std::same_as<void>;
   { Slots.flush(Servers, Wanted, Out) } -> std::same_as<void>;
   { Const.held() } -> std::same_as<std::uint32_t>;
@@ -55,7 +79,7 @@
   }
   static void release(SlotHandle, const Demand &) {}
   static bool mayOverflow(const ServerTable &, TimePoint) { return false; }
-  static void ask(const Demand &, std::mt19937_64 &, Actions &) {}
+  static void ask(const Demand &, std::mt19937_64 &, AskBudget &, Actions &) {}
   static void onPeer(VmId, const peer::Message &, const ServerTable &, const Demand &, Actions &) {}
   static void setHint(VmId, std::uint32_t, TimePoint) {}
   static void flush(const ServerTable &, const Demand &, Actions &) {}
@@ -83,9 +107,6 @@
   static constexpr Duration AskMemory = std::chrono::milliseconds(40);
   /// Requests for slots that are open at once.
   static constexpr std::size_t MostAsks = 4;
-  /// Messages that ask for slots, per second and at once, so that control traffic is bounded.
-  static constexpr double AsksPerSecond = 120.0;
-  static constexpr double AskBurst = 24.0;
 
   /// \brief Computes which slots this VM owns.
   /// \param Service the service, part of the hash
@@ -110,7 +131,7 @@
   bool mayOverflow(const ServerTable &Servers, TimePoint Now) const;
 
   /// \brief Asks peers for slots when requests wait.
-  void ask(const Demand &Wanted, std::mt19937_64 &Random, Actions &Out);
+  void ask(const Demand &Wanted, std::mt19937_64 &Random, AskBudget &Budget, Actions &Out);
 
   /// \brief Takes SlotRequest, SlotLoan and SlotReturn.
   void onPeer(VmId From, const peer::Message &Message, const ServerTable &Servers,
@@ -171,7 +192,6 @@
   };
 
   bool usable(const HeldSlot &Slot, TimePoint Now) const;
-  bool refillAsks(TimePoint Now);
   std::optional<VmId> choosePeer(std::mt19937_64 &Random) const;
   bool isAsked(VmId Vm) const;
   std::uint32_t idleOf(VmId Vm) const;
@@ -201,8 +221,6 @@
   std::vector<std::uint32_t> m_IdleByServer;
   std::uint64_t m_NextHandle = 1;
   std::uint32_t m_TotalSlots = 0;
-  double m_AskTokens = AskBurst;
-  TimePoint m_TokensAt{};
   std::uint32_t m_Unanswered = 0;
   TimePoint m_QuietUntil{};
 };
--- a/src/kernel/slots.cpp
+++ b/src/kernel/slots.cpp
@@ -179,13 +179,6 @@
   return Idle > Known * IdleShareNeeded;
 }
 
-bool LentSlots::refillAsks(TimePoint Now) {
-  const std::chrono::duration<double> Passed = Now - m_TokensAt;
-  m_AskTokens = std::min(AskBurst, m_AskTokens + Passed.count() * AsksPerSecond);
-  m_TokensAt = Now;
-  return m_AskTokens >= 1.0;
-}
-
 bool LentSlots::isAsked(VmId Vm) const {
   return std::any_of(m_Asks.begin(), m_Asks.end(),
                      [Vm](const OpenAsk &Ask) { return Ask.m_To == Vm; });
@@ -215,17 +208,17 @@
   return Best;
 }
 
-void LentSlots::ask(const Demand &Wanted, std::mt19937_64 &Random, Actions &Out) {
+void LentSlots::ask(const Demand &Wanted, std::mt19937_64 &Random, AskBudget &Budget,
+                    Actions &Out) {
   expireAsks(Wanted.m_Now);
   if (Wanted.m_Now < m_QuietUntil) {
     return;
   }
-  while (m_Asks.size() < std::min(MostAsks, Wanted.m_Queued) && refillAsks(Wanted.m_Now)) {
+  while (m_Asks.size() < std::min(MostAsks, Wanted.m_Queued)) {
     const std::optional<VmId> To = choosePeer(Random);
-    if (!To) {
+    if (!To || !Budget.take(Wanted.m_Now)) {
       return;
     }
-    m_AskTokens -= 1.0;
     m_Asks.push_back({.m_To = *To, .m_Expires = Wanted.m_Now + AskTimeout});
     const auto Count = static_cast<std::uint32_t>(Wanted.m_Queued / MostAsks + 1);
     Out.push_back(SendPeer{*To, peer::SlotRequest{.m_Service = m_Service, .m_Count = Count}});
--- a/tests/unit-slots.cpp
+++ b/tests/unit-slots.cpp
@@ -121,13 +121,14 @@
   void borrowOne() {
     occupyAll(m_Mine);
     Actions Asked;
-    m_Mine.ask(demand(1), m_Random, Asked);
+    m_Mine.ask(demand(1), m_Random, m_Budget, Asked);
     const Actions Lent = deliver(Asked, m_Theirs, Self, 0);
     deliver(Lent, m_Mine, Other, 1);
   }
 
   PausedClock m_Clock;
   std::mt19937_64 m_Random{3};
+  AskBudget m_Budget;
   ServerTable m_Servers = makeServers(2, 2);
   LentSlots m_Mine;
   LentSlots m_Theirs;
@@ -149,7 +150,7 @@
   occupyAll(m_Mine);
   occupyAll(m_Theirs, &Taken);
   Actions Asked;
-  m_Mine.ask(demand(1), m_Random, Asked);
+  m_Mine.ask(demand(1), m_Random, m_Budget, Asked);
   EXPECT_TRUE(deliver(Asked, m_Theirs, Self, 0).empty());
   m_Theirs.release(Taken.at(0), demand(0));
   Actions Lent;
@@ -163,7 +164,7 @@
   occupyAll(m_Mine);
   occupyAll(m_Theirs, &Taken);
   Actions Asked;
-  m_Mine.ask(demand(1), m_Random, Asked);
+  m_Mine.ask(demand(1), m_Random, m_Budget, Asked);
   deliver(Asked, m_Theirs, Self, 0);
   m_Clock.advance(LentSlots::AskMemory);
   m_Theirs.release(Taken.at(0), demand(0));
@@ -175,7 +176,7 @@
 TEST_F(LendingTest, AnAskThatExpiredLeavesNoTimerBehind) {
   occupyAll(m_Mine);
   Actions Asked;
-  m_Mine.ask(demand(1), m_Random, Asked);
+  m_Mine.ask(demand(1), m_Random, m_Budget, Asked);
   ASSERT_EQ(Asked.size(), 1U);
   m_Clock.advance(LentSlots::AskTimeout);
   Actions None;
@@ -188,7 +189,7 @@
   std::size_t Asks = 0;
   for (int Millis = 0; Millis < 2000; ++Millis) {
     Actions Asked;
-    m_Mine.ask(demand(8), m_Random, Asked);
+    m_Mine.ask(demand(8), m_Random, m_Budget, Asked);
     Asks += Asked.size();
     m_Clock.advance(std::chrono::milliseconds(1));
   }
@@ -196,10 +197,25 @@
   EXPECT_LE(Asks, 20U);
 }
 
+TEST(AskBudget, HoldsInEverySecondWhateverIsAsked) {
+  AskBudget Budget;
+  TimePoint Now{};
+  for (int Second = 0; Second < 5; ++Second) {
+    int Taken = 0;
+    for (int Millis = 0; Millis < 1000; ++Millis) {
+      Now += std::chrono::milliseconds(1);
+      while (Budget.take(Now)) {
+        ++Taken;
+      }
+    }
+    EXPECT_LE(Taken, AskBudget::AsksPerSecond + AskBudget::Burst);
+  }
+}
+
 TEST_F(LendingTest, AVmWithWaitingRequestsLendsNothing) {
   occupyAll(m_Mine);
   Actions Asked;
-  m_Mine.ask(demand(1), m_Random, Asked);
+  m_Mine.ask(demand(1), m_Random, m_Budget, Asked);
   EXPECT_TRUE(deliver(Asked, m_Theirs, Self, 5).empty());
   EXPECT_EQ(m_Theirs.held(), 2U);
 }
@@ -211,7 +227,7 @@
   }
   occupyAll(m_Mine);
   Actions Asked;
-  m_Mine.ask(demand(1), m_Random, Asked);
+  m_Mine.ask(demand(1), m_Random, m_Budget, Asked);
   EXPECT_TRUE(deliver(Asked, m_Theirs, Self, 0).empty());
   EXPECT_EQ(m_Theirs.held(), 2U);
 }
