--- a/include/vanillahill/net/detail/caller_server.hpp
+++ b/include/vanillahill/net/detail/caller_server.hpp
@@ -63,7 +63,8 @@
   std::shared_ptr<const RouteTable> routes() const;
   CallerLimits limits() const;
   bool isLeaving() const { return m_Leaving.load(std::memory_order_relaxed); }
-  RequestId submit(std::shared_ptr<CallerConnection> Connection, CallerRequestPtr Request);
+  RequestId nextRequest() { return static_cast<RequestId>(++m_LastRequest); }
+  void submit(RequestId Id, std::shared_ptr<CallerConnection> Connection, CallerRequestPtr Request);
   void abandon(RequestId Id);
   void removeConnection(std::uint64_t Id);
 
@@ -73,13 +74,13 @@
   EventSink m_Post;
   observe::Metrics &m_Metrics;
   std::uint16_t m_Port = 0;
+  std::atomic<std::uint64_t> m_LastRequest = 0;
   std::atomic<bool> m_Leaving = false;
   std::atomic<bool> m_Closed = false;
   mutable std::mutex m_Mutex;
   CallerLimits m_Limits;
   std::shared_ptr<const RouteTable> m_Routes;
   std::uint64_t m_LastConnection = 0;
-  std::uint64_t m_LastRequest = 0;
   std::unordered_map<std::uint64_t, std::shared_ptr<CallerConnection>> m_Connections;
   std::unordered_map<RequestId, OpenRequest> m_Requests;
 };
--- a/include/vanillahill/net/detail/node_loop.hpp
+++ b/include/vanillahill/net/detail/node_loop.hpp
@@ -37,6 +37,7 @@
 
 private:
   void drain(std::unique_lock<std::mutex> Lock);
+  void execute(kernel::Action &Step);
   void armTimer(TimePoint Next);
 
   mutable std::mutex m_Mutex;
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -66,8 +66,9 @@
 }
 
 void BackendConnection::send(std::shared_ptr<const BackendExchange> Exchange) {
-  asio::post(m_Stream.get_executor(),
-             [Self = shared_from_this(), Moved = std::move(Exchange)] { Self->begin(Moved); });
+  // Dispatched, not posted: the thread that decided sends, without a change of threads.
+  asio::dispatch(m_Stream.get_executor(),
+                 [Self = shared_from_this(), Moved = std::move(Exchange)] { Self->begin(Moved); });
 }
 
 void BackendConnection::begin(std::shared_ptr<const BackendExchange> Exchange) {
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -137,20 +137,23 @@
   if (m_Reader.leftOver() == 0) {
     read();
   }
-  m_Request = m_Server->submit(shared_from_this(), std::move(Parsed.m_Request));
+  // Known before the kernel is asked, since it may answer before submit() returns.
+  m_Request = m_Server->nextRequest();
+  m_Server->submit(m_Request, shared_from_this(), std::move(Parsed.m_Request));
 }
 
 void CallerConnection::answer(RequestId Id, kernel::Answer Answer) {
-  asio::post(m_Stream.get_executor(),
-             [Self = shared_from_this(), Id, Moved = std::move(Answer)]() mutable {
-               if (Self->m_Phase != CallerPhase::Waiting || Self->m_Request != Id) {
-                 return;
-               }
-               Self->m_Answer = std::move(Moved);
-               const bool KeepAlive = Self->m_KeepAlive && !Self->m_Server->isLeaving();
-               Self->m_Response = answerMessage(Self->m_Answer, Self->m_RefusalText, KeepAlive);
-               Self->write(KeepAlive);
-             });
+  // Dispatched, not posted: the thread that has the answer writes it, without a change of threads.
+  asio::dispatch(m_Stream.get_executor(),
+                 [Self = shared_from_this(), Id, Moved = std::move(Answer)]() mutable {
+                   if (Self->m_Phase != CallerPhase::Waiting || Self->m_Request != Id) {
+                     return;
+                   }
+                   Self->m_Answer = std::move(Moved);
+                   const bool KeepAlive = Self->m_KeepAlive && !Self->m_Server->isLeaving();
+                   Self->m_Response = answerMessage(Self->m_Answer, Self->m_RefusalText, KeepAlive);
+                   Self->write(KeepAlive);
+                 });
 }
 
 void CallerConnection::refuse(CallerFault Fault) {
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -154,21 +154,18 @@
   return m_Limits;
 }
 
-RequestId CallerServer::submit(std::shared_ptr<CallerConnection> Connection,
-                               CallerRequestPtr Request) {
-  kernel::RequestArrived Arrived{.m_Service = Request->m_Service,
+void CallerServer::submit(RequestId Id, std::shared_ptr<CallerConnection> Connection,
+                          CallerRequestPtr Request) {
+  kernel::RequestArrived Arrived{.m_Request = Id,
+                                 .m_Service = Request->m_Service,
                                  .m_Kind = Request->m_Kind,
                                  .m_Key = Request->m_Key,
                                  .m_KeyAge = Request->m_KeyAge};
   {
     const std::lock_guard Lock(m_Mutex);
-    Arrived.m_Request = static_cast<RequestId>(++m_LastRequest);
-    m_Requests[Arrived.m_Request] = {std::move(Connection), std::move(Request),
-                                     SystemClock().now()};
+    m_Requests[Id] = {std::move(Connection), std::move(Request), SystemClock().now()};
   }
-  const auto Id = Arrived.m_Request;
   m_Post(std::move(Arrived));
-  return Id;
 }
 
 void CallerServer::abandon(RequestId Id) {
--- a/src/net/node_loop.cpp
+++ b/src/net/node_loop.cpp
@@ -1,5 +1,7 @@
 #include "vanillahill/net/detail/node_loop.hpp"
 
+#include "vanillahill/observe/log.hpp"
+
 namespace vanillahill::net {
 
 NodeLoop::NodeLoop(kernel::NodeOptions Options, Executor Execute, TimerSetter SetTimer)
@@ -38,7 +40,7 @@
     Batch.swap(m_Pending);
     Lock.unlock();
     for (auto &Step : Batch) {
-      m_Execute(Step);
+      execute(Step);
     }
     Batch.clear();
     Lock.lock();
@@ -47,6 +49,15 @@
   m_Draining = false;
 }
 
+void NodeLoop::execute(kernel::Action &Step) {
+  // One action that fails, for want of memory or descriptors, must not stop those behind it.
+  try {
+    m_Execute(Step);
+  } catch (const std::exception &Raised) {
+    observe::log(observe::LogLevel::Error, "action_failed", {{"detail", Raised.what()}});
+  }
+}
+
 void NodeLoop::armTimer(TimePoint Next) {
   if (Next >= m_Armed) {
     return;
--- /dev/null
+++ b/tests/unit-node-loop.cpp
@@ -0,0 +1,68 @@
+#include "vanillahill/net/detail/node_loop.hpp"
+
+#include "net_fakes.hpp"
+
+#include <gtest/gtest.h>
+
+#include <stdexcept>
+
+namespace vanillahill::net::fakes {
+namespace {
+
+kernel::RequestArrived look(std::uint64_t Id) {
+  return {.m_Request = static_cast<RequestId>(Id),
+          .m_Service = idOf<ServiceId>("desk"),
+          .m_Kind = idOf<KindId>("desk/none")};
+}
+
+kernel::NodeOptions nodeOptions() {
+  return {.m_Name = "e1", .m_Settings = std::make_shared<const SiteSettings>(deskSettings({}))};
+}
+
+TEST(NodeLoop, CarriesActionsOutOnceAndInOneThreadAtATime) {
+  constexpr std::uint64_t PerThread = 500;
+  constexpr int Threads = 4;
+  std::atomic<int> Inside = 0;
+  std::atomic<bool> Overlapped = false;
+  std::atomic<std::uint64_t> Answers = 0;
+  NodeLoop Loop(
+      nodeOptions(),
+      [&](kernel::Action &Step) {
+        Overlapped = Overlapped || ++Inside != 1;
+        Answers += std::holds_alternative<kernel::Answer>(Step) ? 1 : 0;
+        --Inside;
+      },
+      [](TimePoint) {});
+  std::vector<std::thread> Posting;
+  Posting.reserve(Threads);
+  for (int Index = 0; Index < Threads; ++Index) {
+    Posting.emplace_back([&Loop, Index] {
+      for (std::uint64_t Id = 1; Id <= PerThread; ++Id) {
+        Loop.post(look(static_cast<std::uint64_t>(Index) * PerThread + Id));
+      }
+    });
+  }
+  for (auto &Poster : Posting) {
+    Poster.join();
+  }
+  EXPECT_FALSE(Overlapped);
+  EXPECT_EQ(Answers, PerThread * Threads);
+}
+
+TEST(NodeLoop, AnActionThatFailsDoesNotStopTheNextOnes) {
+  int Answers = 0;
+  NodeLoop Loop(
+      nodeOptions(),
+      [&Answers](kernel::Action &Step) {
+        if (std::holds_alternative<kernel::Answer>(Step) && ++Answers == 1) {
+          throw std::runtime_error("no descriptors left");
+        }
+      },
+      [](TimePoint) {});
+  Loop.post(look(1));
+  Loop.post(look(2));
+  EXPECT_EQ(Answers, 2);
+}
+
+} // namespace
+} // namespace vanillahill::net::fakes
