Histories of the tools are written by the history module

Cause: the record format stood twice, in load/ledger and in history/record. Change: Ledger takes history::Backend, Send and Answer and writes history::toLine. Checked: unit-load-path.

--- a/include/vanillahill/load/ledger.hpp
+++ b/include/vanillahill/load/ledger.hpp
@@ -4,49 +4,13 @@
 
 #include "vanillahill/core/error.hpp"
 #include "vanillahill/core/time.hpp"
+#include "vanillahill/history/record.hpp"
 
 #include <memory>
 #include <string>
-#include <string_view>
 
 namespace vanillahill::load {
 
-/// What happened to a request at a backend server.
-struct BackendLine {
-  TimePoint m_At{};
-  /// "start", "end", "refuse", "cancel" or "probe".
-  std::string_view m_Event;
-  std::string_view m_Request;
-  std::string_view m_Operation;
-  std::string_view m_Server;
-  std::string_view m_Vm;
-  std::string_view m_Exchange;
-};
-
-/// A caller sends one attempt.
-struct SendLine {
-  TimePoint m_At{};
-  std::string_view m_Request;
-  std::string_view m_Operation;
-  std::string_view m_Kind;
-  bool m_Idempotent = false;
-  std::string_view m_Vm;
-  std::string_view m_Key;
-  bool m_First = true;
-};
-
-/// A caller has the answer to one attempt, or lost it.
-struct AnswerLine {
-  TimePoint m_At{};
-  std::string_view m_Request;
-  std::string_view m_Operation;
-  /// "completed", "not-run", "unknown" or "cut".
-  std::string_view m_Outcome;
-  std::string_view m_Reason;
-  std::string_view m_Echo;
-  bool m_Whole = false;
-};
-
 /// A history file. Buffered; not thread safe.
 class Ledger {
 public:
@@ -58,14 +22,18 @@
   Ledger &operator=(Ledger &&) noexcept;
   ~Ledger();
 
-  void write(const BackendLine &Line);
-  void write(const SendLine &Line);
-  void write(const AnswerLine &Line);
+  /// \brief Writes one record as a line.
+  /// \param At when it happened
+  /// \param Body what happened
+  void write(TimePoint At, history::Backend Body);
+  void write(TimePoint At, history::Send Body);
+  void write(TimePoint At, history::Answer Body);
   /// \brief Hands buffered lines to the operating system.
   void flush();
 
 private:
   struct State;
+  void writeLine(const history::Record &Line);
   explicit Ledger(std::unique_ptr<State> Inner);
   std::unique_ptr<State> m_State;
 };
--- a/src/load/answer.cpp
+++ b/src/load/answer.cpp
@@ -65,19 +65,19 @@
   return Out;
 }
 
-std::string_view historyName(Ending Value) {
+history::Ending historyEnding(Ending Value) {
   switch (Value) {
   case Ending::Completed:
   case Ending::Failed:
-    return "completed";
+    return history::Ending::Completed;
   case Ending::NotRun:
-    return "not-run";
+    return history::Ending::NotRun;
   case Ending::Unknown:
-    return "unknown";
+    return history::Ending::Unknown;
   case Ending::Cut:
-    return "cut";
+    return history::Ending::Cut;
   }
-  return "cut";
+  return history::Ending::Cut;
 }
 
 } // namespace vanillahill::load::detail
--- a/src/load/backend_server.cpp
+++ b/src/load/backend_server.cpp
@@ -90,7 +90,7 @@
   const auto Entry = m_Pending.find(Id);
   if (Found && Entry != m_Pending.end()) {
     ++m_Counts.m_Cancelled;
-    record("cancel", Entry->second.m_Request);
+    record(history::BackendEvent::Cancel, Entry->second.m_Request);
     m_Pending.erase(Entry);
   }
   carryOut(Outcomes);
@@ -99,7 +99,7 @@
 HealthReport BackendServer::probe(const BackendRequest &Request) {
   const TimePoint Now = timeNow();
   m_Counts.m_Probes.add(Now);
-  record("probe", Request);
+  record(history::BackendEvent::Probe, Request);
   return m_Model.health(Now);
 }
 
@@ -128,7 +128,7 @@
     const auto Found = m_Pending.find(Entry.m_Ticket);
     if (Found != m_Pending.end()) {
       ++m_Counts.m_Started;
-      record("start", Found->second.m_Request);
+      record(history::BackendEvent::Start, Found->second.m_Request);
     }
   }
   m_Counts.m_MostRunning = std::max(m_Counts.m_MostRunning, m_Model.running());
@@ -144,7 +144,7 @@
   m_Pending.erase(Found);
   const bool Ran = Kind == OutcomeKind::Completed;
   ++(Ran ? m_Counts.m_Ended : m_Counts.m_Refused);
-  record(Ran ? "end" : "refuse", Done.m_Request);
+  record(Ran ? history::BackendEvent::End : history::BackendEvent::Refuse, Done.m_Request);
   const std::shared_ptr<BackendConnection> To = Done.m_From.lock();
   if (!To) {
     return;
@@ -192,14 +192,13 @@
   return ServiceTime(Options).draw(m_Shared.m_Random);
 }
 
-void BackendServer::record(std::string_view Event, const BackendRequest &Request) {
-  m_Shared.m_Ledger.write(BackendLine{.m_At = timeNow(),
-                                      .m_Event = Event,
-                                      .m_Request = Request.m_Request,
-                                      .m_Operation = Request.m_Operation,
-                                      .m_Server = m_Name,
-                                      .m_Vm = Request.m_Vm,
-                                      .m_Exchange = Request.m_Exchange});
+void BackendServer::record(history::BackendEvent Event, const BackendRequest &Request) {
+  m_Shared.m_Ledger.write(timeNow(), history::Backend{.m_Event = Event,
+                                                      .m_Request = Request.m_Request,
+                                                      .m_Operation = Request.m_Operation,
+                                                      .m_Server = m_Name,
+                                                      .m_Vm = Request.m_Vm,
+                                                      .m_Exchange = Request.m_Exchange});
 }
 
 void BackendServer::arm() {
--- a/src/load/detail/answer.hpp
+++ b/src/load/detail/answer.hpp
@@ -4,6 +4,7 @@
 
 #include "load_client.hpp"
 
+#include "vanillahill/history/record.hpp"
 #include "vanillahill/load/result.hpp"
 
 #include <string>
@@ -33,7 +34,7 @@
 /// \brief Reads the answer to an attempt.
 Answer readAnswer(const Exchanged &Got, const SentIds &Sent);
 
-/// \brief The name of an ending in a history.
-std::string_view historyName(Ending Value);
+/// \brief How a history records an ending.
+history::Ending historyEnding(Ending Value);
 
 } // namespace vanillahill::load::detail
--- a/src/load/detail/backend_server.hpp
+++ b/src/load/detail/backend_server.hpp
@@ -104,7 +104,7 @@
   void finish(Ticket Id, OutcomeKind Kind);
   BackendReply makeReply(const BackendRequest &Request, OutcomeKind Kind);
   Duration drawTime(const std::string &Kind);
-  void record(std::string_view Event, const BackendRequest &Request);
+  void record(history::BackendEvent Event, const BackendRequest &Request);
   void arm();
   void closeAll();
 
--- a/src/load/load_runner.cpp
+++ b/src/load/load_runner.cpp
@@ -213,14 +213,13 @@
   HttpRequest Request = makeRequest(What, Sent.m_Ids);
   ++What.m_Attempts;
   What.m_LastEntry = At.m_Entry;
-  m_Ledger.write(SendLine{.m_At = timeNow(),
-                          .m_Request = Sent.m_Ids.m_Request,
-                          .m_Operation = What.m_Name,
-                          .m_Kind = Kind.m_Name,
-                          .m_Idempotent = Kind.m_Idempotent,
-                          .m_Vm = entryName(At.m_Entry),
-                          .m_Key = Kind.m_Idempotent ? std::string_view() : What.m_Name,
-                          .m_First = !Sent.m_Ids.m_IsRepeat});
+  m_Ledger.write(timeNow(), history::Send{.m_Request = Sent.m_Ids.m_Request,
+                                          .m_Operation = What.m_Name,
+                                          .m_Kind = Kind.m_Name,
+                                          .m_Idempotent = Kind.m_Idempotent,
+                                          .m_Vm = entryName(At.m_Entry),
+                                          .m_Key = Kind.m_Idempotent ? std::string() : What.m_Name,
+                                          .m_First = !Sent.m_Ids.m_IsRepeat});
   At.m_Client->exchange(std::move(Request), limitOf(What),
                         [this, Sent](detail::Exchanged &&Got) { answered(Sent, std::move(Got)); });
 }
@@ -260,13 +259,12 @@
   }
   m_Result.m_Foreign += Read.m_Foreign ? 1 : 0;
   m_Result.m_Incomplete += Read.m_Incomplete ? 1 : 0;
-  m_Ledger.write(AnswerLine{.m_At = timeNow(),
-                            .m_Request = Sent.m_Ids.m_Request,
-                            .m_Operation = Sent.m_Ids.m_Operation,
-                            .m_Outcome = detail::historyName(Read.m_Ending),
-                            .m_Reason = Read.m_Reason,
-                            .m_Echo = Read.m_Echo,
-                            .m_Whole = Read.m_Whole});
+  m_Ledger.write(timeNow(), history::Answer{.m_Request = Sent.m_Ids.m_Request,
+                                            .m_Operation = Sent.m_Ids.m_Operation,
+                                            .m_Ending = detail::historyEnding(Read.m_Ending),
+                                            .m_Reason = Read.m_Reason,
+                                            .m_Echo = Read.m_Echo,
+                                            .m_Whole = Read.m_Whole});
   settle(Sent.m_Operation, Read, true);
 }
 
