--- a/tests/unit-slots.cpp
+++ b/tests/unit-slots.cpp
@@ -46,6 +46,7 @@
       *rc::gen::container<std::set<std::uint32_t>>(rc::gen::arbitrary<std::uint32_t>());
   RC_PRE(!Vms.empty());
   std::vector<VmId> Alive;
+  Alive.reserve(Vms.size());
   for (const std::uint32_t Vm : Vms) {
     Alive.push_back(VmId{Vm});
   }
