--- a/include/vanillahill/load/result.hpp
+++ b/include/vanillahill/load/result.hpp
@@ -39,6 +39,9 @@
   std::map<std::string, std::uint64_t> m_Reasons;
   /// Completed operations, from the intended send time, with the way of the caller.
   Histogram m_Latency;
+  /// Every operation; one that was not completed counts with its deadline, or more if it took more.
+  /// Refusing the slow ones does not make it look faster.
+  Histogram m_LatencyOfAll;
   /// Refusals: how soon the caller knows.
   Histogram m_RefusalLatency;
 };
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -1,8 +1,15 @@
 #!/usr/bin/env bash
-# Runs the tests under the address and undefined-behaviour sanitizers.
+# Runs the tests under the address and undefined-behaviour sanitizers. One is left out: the
+# exhaustive exploration of repeats does not end within ten minutes there. What it explores is run
+# under the sanitizers by unit-key-guard, unit-members and unit-node-faults; the exploration itself
+# runs in the optimised build.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake -S . -B build-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug \
   -DVANILLAHILL_SANITIZE=address,undefined >/dev/null
-cmake --build build-asan
-scripts/run-tests.sh build-asan
+mapfile -t Tests < <(basename -s .cpp tests/unit-*.cpp | grep -v '^unit-repeats-exploration$')
+cmake --build build-asan --target "${Tests[@]}"
+Pattern="$(IFS='|'; echo "^(${Tests[*]})\$")"
+echo "sanitizers: not run here: unit-repeats-exploration"
+ctest --test-dir build-asan -R "$Pattern" -j "$(( $(nproc) / 2 ))" --output-on-failure \
+  --no-tests=error
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -41,6 +41,7 @@
           {"repeats", Kind.m_Repeats},
           {"reasons", Reasons},
           {"latency", quantiles(Kind.m_Latency)},
+          {"latency_of_all", quantiles(Kind.m_LatencyOfAll)},
           {"refusal_latency", quantiles(Kind.m_RefusalLatency)}};
 }
 
--- a/src/load/result.cpp
+++ b/src/load/result.cpp
@@ -1,5 +1,7 @@
 #include "vanillahill/load/result.hpp"
 
+#include <algorithm>
+
 namespace vanillahill::load {
 
 double LoadResult::weightedInTime() const {
@@ -40,6 +42,10 @@
   if (!Ended.m_Reason.empty() && Ended.m_Reason != "none") {
     ++Kind.m_Reasons[Ended.m_Reason];
   }
+  const bool Completed = Ended.m_Ending == Ending::Completed;
+  const Duration Counted =
+      Completed ? Ended.m_Latency : std::max(Ended.m_Latency, Kind.m_Kind.m_Deadline);
+  Kind.m_LatencyOfAll.add(Counted + Ended.m_Way);
   switch (Ended.m_Ending) {
   case Ending::Completed:
     ++Kind.m_Completed;
--- a/tests/unit-load-schedule.cpp
+++ b/tests/unit-load-schedule.cpp
@@ -86,6 +86,8 @@
   count(Kind, {.m_Ending = Ending::Completed, .m_Reason = "", .m_Latency = milliseconds(101)});
   count(Kind, {.m_Ending = Ending::NotRun, .m_Reason = "overload"});
   count(Kind, {.m_Ending = Ending::Failed, .m_Reason = ""});
+  EXPECT_EQ(Kind.m_LatencyOfAll.count(), 4U);
+  EXPECT_GE(Kind.m_LatencyOfAll.quantile(0.4), milliseconds(99));
   EXPECT_EQ(Kind.m_Sent, 4U);
   EXPECT_EQ(Kind.m_InTime, 1U);
   EXPECT_EQ(Kind.m_Completed, 2U);
