--- a/include/vanillahill/kernel/dispatcher.hpp
+++ b/include/vanillahill/kernel/dispatcher.hpp
@@ -89,7 +89,7 @@
     }
     noteServer(*Attempt, Ended, Now);
     if (RequestState *State = m_Requests.find(Attempt->m_Request)) {
-      conclude(*State, *Attempt, Ended, Now, Out);
+      conclude(*State, Ended, Now, Out);
     }
     serve(Now, Out);
   }
@@ -441,8 +441,7 @@
   }
 
   /// Decides what follows for the request from the end of one of its attempts.
-  void conclude(RequestState &State, const AttemptState &Attempt, const AttemptEnded &Ended,
-                TimePoint Now, Actions &Out) {
+  void conclude(RequestState &State, const AttemptEnded &Ended, TimePoint Now, Actions &Out) {
     if (Ended.m_Result == AttemptResult::Completed) {
       const bool Failed = isServerError(*Ended.m_Reply);
       if (!Failed || !retryServerError(State, Now, Out)) {
@@ -461,7 +460,7 @@
       retry(State, retryReason(Ended.m_Result), Now, Out);
       return;
     }
-    answer(State, outcomeWithout(State), refusalReason(State, Attempt, Verdict), Out);
+    answer(State, outcomeWithout(State), refusalReason(State, Verdict), Out);
   }
 
   /// An idempotent request whose server answered with an error may try another server.
@@ -493,8 +492,7 @@
     }
   }
 
-  static Reason refusalReason(const RequestState &State, const AttemptState & /*Attempt*/,
-                              RetryVerdict Verdict) {
+  static Reason refusalReason(const RequestState &State, RetryVerdict Verdict) {
     if (State.m_MayHaveRun) {
       return Reason::AttemptLost;
     }
