--- a/include/vanillahill/kernel/dispatcher_base.hpp
+++ b/include/vanillahill/kernel/dispatcher_base.hpp
@@ -30,6 +30,7 @@
 /// What all dispatchers of a node share. Outlives them; used under the node's lock.
 struct DispatcherContext {
   VmId m_Self{};
+  std::string m_DataCenter;
   DispatchGate *m_Gate = nullptr;
   std::mt19937_64 m_Random;
   AskBudget m_Asks;
--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -6,8 +6,10 @@
 #include "vanillahill/core/ids.hpp"
 #include "vanillahill/core/time.hpp"
 #include "vanillahill/peer/message.hpp"
+#include "vanillahill/settings/settings.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,6 +30,15 @@
   Unknown,
 };
 
+/// What a backend server says of its load in a reply.
+struct LoadReport {
+  std::uint32_t m_Running = 0;
+  std::uint32_t m_Waiting = 0;
+  std::uint32_t m_Slots = 0;
+  /// How long work takes there at present, as a multiple of the usual time.
+  double m_Slowdown = 1.0;
+};
+
 /// Why a request was refused, or how it ended. Each has its counter.
 enum class Reason : std::uint8_t {
   None,
@@ -91,6 +102,8 @@
   /// Empty when the caller sent none.
   std::string m_Key;
   KeyAge m_KeyAge;
+  /// How long the caller waits from now on, when it says so.
+  std::optional<Duration> m_TimeLeft;
 };
 
 /// The caller closed its connection before its answer.
@@ -106,12 +119,27 @@
   ReplyPtr m_Reply;
   /// The server said that it is leaving.
   bool m_ServerLeaving = false;
+  /// Set when the reply told the server's load.
+  std::optional<LoadReport> m_Load;
+  /// Another server has the address now.
+  bool m_WrongServer = false;
 };
 
 /// A measuring request came to its end.
 struct ProbeEnded {
   ServerId m_Server{};
   bool m_Healthy = false;
+  /// Set when the reply told the server's load.
+  std::optional<LoadReport> m_Load;
+  /// A reply came, healthy or not.
+  bool m_Answered = false;
+  /// Another server has the address now.
+  bool m_WrongServer = false;
+};
+
+/// Settings came from outside of the log; they replace those in force.
+struct SettingsRead {
+  std::shared_ptr<const SiteSettings> m_Settings;
 };
 
 /// A message came from another VM.
@@ -157,7 +185,7 @@
 struct TimerFired {};
 
 using Event = std::variant<RequestArrived, CallerGone, AttemptEnded, ProbeEnded, PeerReceived,
-                           VmListRead, LogRead, StopRequested, TimerFired>;
+                           VmListRead, LogRead, SettingsRead, StopRequested, TimerFired>;
 
 /// Send the request to a backend server.
 struct Dispatch {
--- a/include/vanillahill/kernel/node.hpp
+++ b/include/vanillahill/kernel/node.hpp
@@ -23,6 +23,9 @@
   std::uint64_t m_Seed = 0;
   /// Set in tests and experiments that need no log: in force from the start.
   std::shared_ptr<const SiteSettings> m_Settings;
+  /// After a stop is requested, new requests are still taken for this long: the balancer learns
+  /// late that the VM is leaving.
+  Duration m_DrainLinger = std::chrono::seconds(1);
 };
 
 /// One VM's decisions. Not thread safe: the owner calls it under one lock, or from one thread.
--- /dev/null
+++ b/include/vanillahill/kernel/probed/backend_view.hpp
@@ -0,0 +1,125 @@
+/// \file
+/// What one VM knows of one backend server when servers tell their load on request, and how long a
+/// request would take there.
+#pragma once
+
+#include "vanillahill/kernel/events.hpp"
+#include "vanillahill/kernel/ewma.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace vanillahill::kernel::probed {
+
+/// Position of a backend server in the dispatcher's table.
+using BackendIndex = std::uint32_t;
+
+/// A server is nearly full from this share of its slots on.
+inline constexpr double NearlyFullShare = 0.75;
+/// Work takes longer by this factor at a server that is nearly full.
+inline constexpr double NearlyFullSlowdown = 1.5;
+/// Work takes longer by this factor at a server that has just started.
+inline constexpr double ColdSlowdown = 2.0;
+/// A load report older than this says nothing of the present.
+inline constexpr Duration ReportLifetime = std::chrono::milliseconds(12);
+/// Failures are forgotten with this time constant.
+inline constexpr Duration FailureMemory = std::chrono::milliseconds(2500);
+/// Slowness seen in finished work is forgotten with this time constant.
+inline constexpr Duration SlownessMemory = std::chrono::milliseconds(1500);
+
+/// A value that fades to zero with a time constant.
+class Fading {
+public:
+  explicit Fading(Duration TimeConstant) : m_TimeConstant(TimeConstant) {}
+
+  double value(TimePoint Now) const {
+    if (m_Value == 0.0) {
+      return 0.0;
+    }
+    const std::chrono::duration<double> Age = Now - m_At;
+    const std::chrono::duration<double> Constant = m_TimeConstant;
+    return m_Value * std::exp(-Age / Constant);
+  }
+
+  void set(double Value, TimePoint Now) {
+    m_Value = Value;
+    m_At = Now;
+  }
+
+private:
+  Duration m_TimeConstant;
+  double m_Value = 0.0;
+  TimePoint m_At{};
+};
+
+/// One backend server as this VM sees it.
+struct BackendView {
+  ServerSettings m_Settings;
+  /// In the same data centre as this VM.
+  bool m_IsNear = false;
+  /// Attempts of this VM that run there.
+  std::uint32_t m_InFlight = 0;
+  std::optional<LoadReport> m_Load;
+  TimePoint m_LoadAt{};
+  /// A probe is on its way since then.
+  std::optional<TimePoint> m_ProbeSince;
+  /// Failures of late; one adds 1.
+  Fading m_Failures{FailureMemory};
+  /// Time taken by work there beyond what its load reports explained, as a multiple less one.
+  Fading m_Slowness{SlownessMemory};
+  std::uint64_t m_Probes = 0;
+
+  bool hasFreshLoad(TimePoint Now) const { return m_Load && Now - m_LoadAt <= ReportLifetime; }
+
+  void takeLoad(const LoadReport &Load, TimePoint Now) {
+    m_Load = Load;
+    m_LoadAt = Now;
+  }
+
+  /// \brief Adds evidence of failure, at most up to a bound, so that a server that has recovered is
+  /// tried again soon.
+  void addFailure(double Weight, TimePoint Now) {
+    constexpr double MostFailures = 6.0;
+    m_Failures.set(std::min(m_Failures.value(Now) + Weight, MostFailures), Now);
+  }
+
+  void takeSuccess(TimePoint Now) {
+    constexpr double KeptShare = 0.5;
+    m_Failures.set(m_Failures.value(Now) * KeptShare, Now);
+  }
+
+  /// \brief Whether every slot is taken, by the last report.
+  bool isFull() const { return m_Load && m_Load->m_Running >= slots(); }
+
+  /// \brief Requests that wait there for a slot, by the last report.
+  std::uint32_t waiting() const { return m_Load ? m_Load->m_Waiting : 0; }
+
+  std::uint32_t slots() const {
+    const std::uint32_t Told = m_Load ? m_Load->m_Slots : 0;
+    return std::max(Told != 0 ? Told : m_Settings.m_Slots, 1U);
+  }
+
+  /// \brief How much longer than usual work that starts there now would take.
+  double slowdown(TimePoint Now) const {
+    double Factor = 1.0 + m_Slowness.value(Now);
+    if (m_Load) {
+      Factor *= m_Load->m_Slowdown;
+      const double Share = (m_Load->m_Running + 1.0) / slots();
+      Factor *= Share > NearlyFullShare ? NearlyFullSlowdown : 1.0;
+    }
+    return Now < m_Settings.m_ColdUntil ? Factor * ColdSlowdown : Factor;
+  }
+
+  /// \brief Expected seconds until an answer of a request sent there now.
+  /// \param WorkSeconds usual time of the request's kind
+  double expectedSeconds(double WorkSeconds, TimePoint Now) const {
+    const double Work = WorkSeconds * slowdown(Now);
+    if (!isFull()) {
+      return Work;
+    }
+    return Work + Work * (waiting() + 1.0) / slots();
+  }
+};
+
+} // namespace vanillahill::kernel::probed
--- a/include/vanillahill/net/detail/admin_server.hpp
+++ b/include/vanillahill/net/detail/admin_server.hpp
@@ -16,13 +16,23 @@
   std::function<bool()> m_IsReady;
 };
 
-/// Serves GET /metrics, /status, /ready and /live. Thread safe.
+/// What an admin address asks for.
+struct AdminAccess {
+  /// Shown by operators; metrics and status are refused without it.
+  std::string m_Token;
+  /// Metrics and status are open to everybody who reaches the address.
+  bool m_IsOpen = false;
+  /// Target that tells whether the VM is ready.
+  std::string m_ReadyTarget = "/ready";
+};
+
+/// Serves GET /metrics, /status, the ready target and /live. Thread safe.
 class AdminServer : public std::enable_shared_from_this<AdminServer> {
 public:
   using Response = http::response<http::string_body>;
   using Request = http::request<http::string_body>;
 
-  AdminServer(asio::io_context &Io, Acceptor Listener, std::string Token, AdminSources Sources,
+  AdminServer(asio::io_context &Io, Acceptor Listener, AdminAccess Access, AdminSources Sources,
               observe::Metrics &Metrics);
 
   /// \brief Begins to accept.
@@ -44,7 +54,7 @@
   asio::io_context &m_Io;
   Acceptor m_Acceptor;
   std::uint16_t m_Port = 0;
-  const std::string m_Token;
+  const AdminAccess m_Access;
   AdminSources m_Sources;
   observe::Metrics &m_Metrics;
   std::atomic<int> m_Sessions = 0;
--- a/include/vanillahill/net/detail/backend_connection.hpp
+++ b/include/vanillahill/net/detail/backend_connection.hpp
@@ -28,14 +28,20 @@
 
   ServerId server() const { return m_Server; }
 
+  /// \brief Until when the server keeps this connection open; valid while it is idle.
+  TimePoint usableUntil() const { return m_UsableUntil; }
+
 private:
   void onConnected(ErrorCode Failure);
   void begin(std::shared_ptr<const BackendExchange> Exchange);
   void onWritten(ErrorCode Failure, std::size_t Count);
   void read();
   void onRead(ErrorCode Failure, std::size_t Count);
+  void readNext();
+  void onEnd();
   void onReply();
   void completeIfWritten();
+  void noteKeepAlive(const HttpReply &Message);
   /// Ends the running exchange as one whose fate is told by the bytes sent, and closes.
   void fail(observe::ReplyFault Fault);
   /// Counts and logs a fault of the running exchange.
@@ -60,6 +66,9 @@
   bool m_IsConnecting = false;
   bool m_IsClosed = false;
   bool m_IsWritten = false;
+  /// A reply that was thrown away came here: the running exchange is the last one.
+  bool m_IsTainted = false;
+  TimePoint m_UsableUntil = TimePoint::max();
   /// The last exchange given up that was not running here then.
   std::optional<std::uint64_t> m_AbortedId;
   /// Bytes of the running request may have left this VM.
--- a/include/vanillahill/net/detail/backend_exchange.hpp
+++ b/include/vanillahill/net/detail/backend_exchange.hpp
@@ -14,6 +14,10 @@
   CallerRequestPtr m_Request = nullptr;
   ServerId m_Server{};
   TimePoint m_Deadline{};
+  /// The server's name in the settings.
+  std::string m_ServerName = {};
+  /// Target of a measuring request.
+  std::string m_HealthPath = {};
 
   bool isProbe() const { return m_Request == nullptr; }
 };
@@ -23,6 +27,11 @@
   kernel::AttemptResult m_Result = kernel::AttemptResult::Unknown;
   ReplyPtr m_Reply = nullptr;
   bool m_ServerLeaving = false;
+  std::optional<kernel::LoadReport> m_Load = std::nullopt;
+  /// Another server has the address now.
+  bool m_WrongServer = false;
+  /// A reply came, whatever it said.
+  bool m_Answered = false;
 };
 
 /// \brief The message that is sent to the server.
@@ -44,6 +53,10 @@
 bool hasLength(const HttpReply &Message);
 
 /// \brief Reads a whole reply that belongs to the exchange.
-ExchangeEnd exchangeEnd(HttpReply Message);
+ExchangeEnd exchangeEnd(HttpReply Message, const BackendExchange &Exchange);
+
+/// \brief How long a server keeps the connection of a reply open while it is idle.
+/// \return nothing when the reply does not say
+std::optional<Duration> keepAliveTime(const HttpReply &Message);
 
 } // namespace vanillahill::net
--- a/include/vanillahill/net/detail/backend_pool.hpp
+++ b/include/vanillahill/net/detail/backend_pool.hpp
@@ -3,7 +3,7 @@
 /// at a time.
 #pragma once
 
-#include "vanillahill/net/detail/backend_exchange.hpp"
+#include "vanillahill/net/detail/dialect.hpp"
 #include "vanillahill/observe/metrics.hpp"
 
 #include <deque>
@@ -16,10 +16,21 @@
 class BackendConnection;
 using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
 
+/// How a pool keeps its connections.
+struct BackendPoolOptions {
+  const Dialect *m_Dialect = &ownDialect();
+  /// Connections kept idle beyond those that waiting requests need.
+  std::size_t m_SpareConnections = 1;
+  /// A reply may come this long after the deadline that the server was told.
+  Duration m_LateGrace{};
+  Duration m_ProbeTimeout = std::chrono::seconds(1);
+};
+
 /// All connections from this VM to backend servers. Thread safe.
 class BackendPool : public std::enable_shared_from_this<BackendPool> {
 public:
-  BackendPool(asio::io_context &Io, std::string VmName, EventSink Post, observe::Metrics &Metrics);
+  BackendPool(asio::io_context &Io, std::string VmName, EventSink Post, observe::Metrics &Metrics,
+              BackendPoolOptions Options = {});
   ~BackendPool();
 
   /// \brief Takes new settings: servers come, go and change their bounds.
@@ -57,6 +68,8 @@
 
   /// One server with its connections.
   struct Server {
+    std::string m_Name;
+    std::string m_HealthPath;
     std::string m_Address;
     Tcp::endpoint m_Endpoint;
     /// Connections that this VM may have at once.
@@ -80,13 +93,15 @@
     std::vector<std::uint64_t> m_NotSent;
   };
 
-  void start(const std::shared_ptr<const BackendExchange> &Exchange);
+  void start(BackendExchange Begun);
   void armDeadline(const std::shared_ptr<const BackendExchange> &Exchange,
                    asio::steady_timer &Deadline);
   void giveUp(std::uint64_t Id, bool IsLate);
   void matchWaiting(Server &Target, Work &Out);
   void openConnections(ServerId Id, Server &Target, std::size_t Spare, Work &Out);
-  void applyServer(const ServerSettings &Settings, std::size_t MaxVms, Work &Out);
+  void applyServer(const ServerSettings &Settings, const ServiceSettings &Service,
+                   std::size_t MaxVms, Work &Out);
+  static void closeExpired(Server &Target, Work &Out);
   static void closeIdle(Server &Target, Work &Out);
   void dropUnlisted(const std::set<ServerId> &Listed, Work &Out);
   void carryOut(Work &&Steps);
@@ -101,6 +116,7 @@
   const std::string m_VmName;
   EventSink m_Post;
   observe::Metrics &m_Metrics;
+  const BackendPoolOptions m_Options;
   mutable std::mutex m_Mutex;
   bool m_Closed = false;
   std::uint64_t m_LastProbe = 0;
--- a/include/vanillahill/net/detail/caller_request.hpp
+++ b/include/vanillahill/net/detail/caller_request.hpp
@@ -6,7 +6,9 @@
 #include "vanillahill/net/fault.hpp"
 #include "vanillahill/settings/settings.hpp"
 
+#include <atomic>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace vanillahill::net {
@@ -20,6 +22,10 @@
   /// Empty when the caller sent none.
   std::string m_Key;
   kernel::KeyAge m_KeyAge;
+  /// The caller's own name for this attempt, for logs; empty when it gave none.
+  std::string m_CallerId = {};
+  /// How long the caller waits, when it says so.
+  std::optional<Duration> m_TimeLeft = std::nullopt;
   /// What is passed on: without the headers of one connection and without our own.
   HttpRequest m_Message;
 };
@@ -43,8 +49,27 @@
   /// \return null when it names none
   const Route *find(std::string_view Target) const;
 
+  /// \brief Chooses a share of the route with this host and the longest prefix of the path. Shares
+  /// get their part of any few consecutive requests.
+  /// \param Host without a port, in lower case
+  /// \return null when there is none
+  /// \note Thread safe.
+  const RouteShare *match(std::string_view Host, std::string_view Path) const;
+
 private:
+  /// A route by host and path.
+  struct HostRoute {
+    RouteSettings m_Settings;
+    double m_WeightSum = 0.0;
+    /// Requests chosen for so far.
+    mutable std::atomic<std::uint64_t> m_Count = 0;
+  };
+
+  static const RouteShare &chooseShare(const HostRoute &Chosen);
+
   std::unordered_map<KindId, Route> m_Routes;
+  /// Routes of each host, the longest prefix first.
+  std::unordered_map<std::string, std::vector<std::unique_ptr<HostRoute>>> m_Hosts;
 };
 
 /// A request that was read, or why it is refused.
--- a/include/vanillahill/net/detail/caller_server.hpp
+++ b/include/vanillahill/net/detail/caller_server.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "vanillahill/net/detail/caller_request.hpp"
+#include "vanillahill/net/detail/dialect.hpp"
 #include "vanillahill/net/detail/types.hpp"
 #include "vanillahill/observe/metrics.hpp"
 
@@ -17,7 +18,8 @@
 /// All callers' connections of one VM. Thread safe.
 class CallerServer : public std::enable_shared_from_this<CallerServer> {
 public:
-  CallerServer(asio::io_context &Io, Acceptor Listener, EventSink Post, observe::Metrics &Metrics);
+  CallerServer(asio::io_context &Io, Acceptor Listener, EventSink Post, observe::Metrics &Metrics,
+               const Dialect &Speech = ownDialect());
   ~CallerServer();
 
   /// \brief Begins to accept and to watch for slow callers.
@@ -73,6 +75,7 @@
   Timer m_WatchTimer;
   EventSink m_Post;
   observe::Metrics &m_Metrics;
+  const Dialect &m_Dialect;
   std::uint16_t m_Port = 0;
   std::atomic<std::uint64_t> m_LastRequest = 0;
   std::atomic<bool> m_Leaving = false;
--- a/include/vanillahill/net/detail/message_reader.hpp
+++ b/include/vanillahill/net/detail/message_reader.hpp
@@ -62,6 +62,19 @@
     return {Value.data(), Value.size()};
   }
 
+  /// \brief The message being read has no length and ends with the connection.
+  bool endsWithConnection() const {
+    return m_Parser && m_Parser->is_header_done() && m_Parser->need_eof();
+  }
+
+  /// \brief The connection ended in order.
+  /// \return whether the message is whole now; then call take()
+  bool finishAtEnd() {
+    ErrorCode Failure;
+    m_Parser->put_eof(Failure);
+    return !Failure && m_Parser->is_done();
+  }
+
   /// \brief Bytes behind the last whole message.
   std::size_t leftOver() const { return m_Buffer.size(); }
 
--- a/include/vanillahill/observe/log.hpp
+++ b/include/vanillahill/observe/log.hpp
@@ -24,6 +24,9 @@
   std::string m_Value;
 };
 
+/// \brief Writes lines to standard output. Called before the first line. \note Not thread safe.
+void useStandardOutput();
+
 /// \brief Sets the least level that is written.
 /// \param Name "trace", "debug", "info", "warning", "error", "critical" or "off"
 /// \return false for another name; the level then stays
--- a/include/vanillahill/peer/message.hpp
+++ b/include/vanillahill/peer/message.hpp
@@ -13,11 +13,19 @@
 
 namespace vanillahill {
 
+/// One header of a reply.
+struct ReplyHeader {
+  std::string m_Name;
+  std::string m_Value;
+};
+
 /// A whole answer of a backend server, as it is passed to the caller and kept for repeats.
 struct Reply {
   std::uint32_t m_Status = 200;
   std::string m_ContentType;
   std::string m_Body;
+  /// Further headers that go to the caller. Not kept for repeats.
+  std::vector<ReplyHeader> m_Headers = {};
 };
 using ReplyPtr = std::shared_ptr<const Reply>;
 
--- a/include/vanillahill/settings/settings.hpp
+++ b/include/vanillahill/settings/settings.hpp
@@ -21,6 +21,12 @@
   Duration m_Deadline = std::chrono::seconds(2);
   /// An idempotent request may run more than once.
   bool m_Idempotent = false;
+  /// Time within which an answer is worth most; zero when only the deadline counts.
+  Duration m_TargetLatency{};
+  /// 0 is the most urgent.
+  std::uint32_t m_Priority = 0;
+  /// Backend servers that one request may be sent to.
+  std::uint32_t m_MaxAttempts = 8;
 };
 
 /// One backend server.
@@ -36,6 +42,8 @@
   std::uint32_t m_MaxConnections = 250;
   /// A leaving server gets no new request.
   bool m_Leaving = false;
+  /// The server works slowly until then, because it has just started.
+  TimePoint m_ColdUntil{};
 };
 
 /// How the kernel decides for one service.
@@ -50,6 +58,8 @@
   double m_HedgeFactor = 3.0;
   /// Requests that may wait in one VM.
   std::uint32_t m_QueueLimit = 512;
+  /// Time over which retries and hedges are counted against first attempts.
+  Duration m_RetryWindow = std::chrono::seconds(10);
 };
 
 /// A set of interchangeable backend servers with the kinds of request that they serve.
@@ -59,6 +69,24 @@
   std::vector<KindSettings> m_Kinds;
   std::vector<ServerSettings> m_Servers;
   PolicySettings m_Policy;
+  /// Target of a health request.
+  std::string m_HealthPath = "/vh/health";
+};
+
+/// One part of the requests of a route.
+struct RouteShare {
+  ServiceId m_Service{};
+  KindId m_Kind{};
+  double m_Weight = 1.0;
+};
+
+/// Requests of one host below one path prefix.
+struct RouteSettings {
+  std::string m_Host;
+  /// Begins and ends with a slash.
+  std::string m_PathPrefix;
+  /// Not empty; more than one when the traffic is split.
+  std::vector<RouteShare> m_Shares;
 };
 
 /// Bounds towards callers.
@@ -68,10 +96,14 @@
   std::uint32_t m_Connections = 2048;
   /// A caller that is slower than this to send a request or to read an answer is cut off.
   Duration m_Timeout = std::chrono::seconds(10);
+  /// A connection without a request is closed after this; zero for a multiple of m_Timeout.
+  Duration m_IdleTimeout{};
 };
 
 /// Idempotency keys of non-idempotent requests.
 struct IdempotencySettings {
+  /// Without keys every request of a caller is its own operation.
+  bool m_Enabled = true;
   /// How long a caller may repeat a request; keys are kept for longer than this.
   Duration m_RepeatWindow = std::chrono::minutes(10);
   /// Keys one VM keeps at most; at the bound new keyed requests are refused as not run.
@@ -106,6 +138,8 @@
   std::string m_Site;
   std::vector<std::string> m_DataCenters;
   std::vector<ServiceSettings> m_Services;
+  /// Routes by host and path; empty where the path names service and kind.
+  std::vector<RouteSettings> m_Routes;
   CallerLimits m_Callers;
   IdempotencySettings m_Idempotency;
   MembershipSettings m_Membership;
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -14,10 +14,6 @@
 
 namespace {
 
-/// After StopRequested new requests are still taken for this long: the platform's balancer learns
-/// late that the VM is leaving.
-constexpr Duration DrainLinger = std::chrono::seconds(1);
-
 membership::MembersOptions membersOptions(const NodeOptions &Options) {
   return {.m_Self = {.m_Name = Options.m_Name,
                      .m_PeerAddress = Options.m_PeerAddress,
@@ -64,11 +60,15 @@
                    .m_Seed = m_Options.m_Seed ^ raw(idOf<VmId>(m_Options.m_Name)),
                    .m_Policies = m_Policies}) {
     m_Context.m_Self = idOf<VmId>(m_Options.m_Name);
+    m_Context.m_DataCenter = m_Options.m_DataCenter;
     m_Context.m_Gate = this;
     m_Context.m_Random.seed(m_Options.m_Seed);
   }
 
   Reason mayDispatch(RequestId Request, TimePoint Now) override {
+    if (!m_Settings->m_Idempotency.m_Enabled) {
+      return Reason::None;
+    }
     return m_Keys.mayDispatch(Request, m_Members.view(Now));
   }
 
@@ -206,12 +206,15 @@
       Out.push_back(Answer{.m_Request = Input.m_Request, .m_Reason = Why});
       return;
     }
+    const Duration Allowed = Input.m_TimeLeft ? std::min(Kind->m_Deadline, *Input.m_TimeLeft)
+                                              : Kind->m_Deadline;
+    const bool IsGuarded = !Kind->m_Idempotent && m_Settings->m_Idempotency.m_Enabled;
     const OpenRequest Open{.m_Service = Input.m_Service,
                            .m_Kind = Input.m_Kind,
-                           .m_Deadline = Now + Kind->m_Deadline,
-                           .m_Guarded = !Kind->m_Idempotent};
+                           .m_Deadline = Now + Allowed,
+                           .m_Guarded = IsGuarded};
     m_Open.emplace(Input.m_Request, Open);
-    const auto Verdict = Kind->m_Idempotent
+    const auto Verdict = !IsGuarded
                              ? idempotency::Verdict::Run
                              : m_Keys.arrived(Input.m_Request, Input.m_Key, Input.m_KeyAge,
                                               m_Members.view(Now), Now, Out);
@@ -319,9 +322,14 @@
     followReplica(Now);
   }
 
+  void on(const SettingsRead &Input, TimePoint Now, Actions &Out) {
+    apply(Input.m_Settings, Now);
+    Out.push_back(SettingsChanged{});
+  }
+
   void on(const StopRequested & /*Input*/, TimePoint Now, Actions &Out) {
     if (!m_StopAt) {
-      m_StopAt = Now + DrainLinger;
+      m_StopAt = Now + m_Options.m_DrainLinger;
       m_Members.setState(peer::VmState::Leaving);
       tick(Now, Out);
     }
--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -77,9 +77,9 @@
   AdminServer::Response m_Response;
 };
 
-AdminServer::AdminServer(asio::io_context &Io, Acceptor Listener, std::string Token,
+AdminServer::AdminServer(asio::io_context &Io, Acceptor Listener, AdminAccess Access,
                          AdminSources Sources, observe::Metrics &Metrics)
-    : m_Io(Io), m_Acceptor(std::move(Listener)), m_Token(std::move(Token)),
+    : m_Io(Io), m_Acceptor(std::move(Listener)), m_Access(std::move(Access)),
       m_Sources(std::move(Sources)), m_Metrics(Metrics) {
   ErrorCode Ignored;
   m_Port = m_Acceptor.local_endpoint(Ignored).port();
@@ -119,14 +119,16 @@
   if (Message.target() == "/live") {
     return textResponse(http::status::ok, "text/plain", "live\n");
   }
-  if (Message.target() == "/ready") {
+  if (Message.target() == m_Access.m_ReadyTarget) {
     const bool IsReady = m_Sources.m_IsReady();
     return textResponse(IsReady ? http::status::ok : http::status::service_unavailable,
                         "text/plain", IsReady ? "ready\n" : "not ready\n");
   }
   const std::string Shown(Message[http::field::authorization]);
-  if (!Shown.starts_with(Bearer) || m_Token.empty() ||
-      !equalSecrets(std::string_view(Shown).substr(Bearer.size()), m_Token)) {
+  const bool ShowsToken =
+      Shown.starts_with(Bearer) && !m_Access.m_Token.empty() &&
+      equalSecrets(std::string_view(Shown).substr(Bearer.size()), m_Access.m_Token);
+  if (!m_Access.m_IsOpen && !ShowsToken) {
     m_Metrics.countWrongToken();
     observe::logFault("admin_refused",
                       {Errc::TokenWrong, "check admin token", "admin", "wrong or missing"});
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -84,7 +84,8 @@
   }
   m_Reply.reset();
   m_IsWritten = false;
-  m_Request = exchangeMessage(*m_Exchange, m_Pool->m_VmName, SystemClock().now());
+  m_Request = m_Pool->m_Options.m_Dialect->m_ExchangeMessage(
+      *m_Exchange, m_Pool->m_VmName, SystemClock().now());
   m_Serializer.emplace(m_Request);
   m_MayHaveLeft = true;
   http::async_write(m_Stream, *m_Serializer,
@@ -117,6 +118,10 @@
   if (m_IsClosed) {
     return;
   }
+  if (Failure == asio::error::eof && m_Exchange && !m_Reply && m_Reader.endsWithConnection()) {
+    onEnd();
+    return;
+  }
   if (Failure) {
     fail(observe::ReplyFault::Cut);
     return;
@@ -127,6 +132,11 @@
     fail(observe::ReplyFault::LeftOver);
     return;
   }
+  readNext();
+}
+
+/// Reads on in the bytes received so far.
+void BackendConnection::readNext() {
   switch (m_Reader.advance()) {
   case ReadState::Faulty:
     fail(observe::ReplyFault::Malformed);
@@ -140,30 +150,54 @@
   }
 }
 
+/// The server ended the connection in order, and with it a reply without a length.
+void BackendConnection::onEnd() {
+  if (!m_Pool->m_Options.m_Dialect->m_Replies.m_AllowsUnframed || !m_Reader.finishAtEnd()) {
+    fail(observe::ReplyFault::Cut);
+    return;
+  }
+  m_IsTainted = true;
+  onReply();
+}
+
 void BackendConnection::onReply() {
+  const Dialect &Speech = *m_Pool->m_Options.m_Dialect;
   auto Message = m_Reader.take();
-  if (!hasFinalStatus(Message) || !hasLength(Message)) {
+  if (!hasFinalStatus(Message) || !(hasLength(Message) || m_IsTainted)) {
     fail(observe::ReplyFault::Malformed);
     return;
   }
-  if (!belongsTo(Message, *m_Exchange)) {
-    fail(observe::ReplyFault::OtherExchange);
+  if (!Speech.m_BelongsTo(Message, *m_Exchange)) {
+    if (!Speech.m_Replies.m_SkipsOthers) {
+      fail(observe::ReplyFault::OtherExchange);
+      return;
+    }
+    report(observe::ReplyFault::OtherExchange);
+    m_IsTainted = true;
+    readNext();
     return;
   }
   if (m_Reader.leftOver() > 0) {
-    fail(observe::ReplyFault::LeftOver);
-    return;
+    if (!Speech.m_Replies.m_AllowsLeftOver) {
+      fail(observe::ReplyFault::LeftOver);
+      return;
+    }
+    report(observe::ReplyFault::LeftOver);
+    m_IsTainted = true;
   }
   m_Reply = std::move(Message);
   completeIfWritten();
 }
 
 void BackendConnection::completeIfWritten() {
-  if (!m_Reply || (!m_IsWritten && m_Reply->keep_alive())) {
+  const Dialect &Speech = *m_Pool->m_Options.m_Dialect;
+  if (!m_Reply ||
+      (!m_IsWritten && m_Reply->keep_alive() && !Speech.m_Replies.m_TakesEarly)) {
     return;
   }
-  const bool Reuse = m_IsWritten && m_Reply->keep_alive();
-  auto End = exchangeEnd(std::move(*m_Reply));
+  const bool Reuse = m_IsWritten && m_Reply->keep_alive() && !m_IsTainted;
+  noteKeepAlive(*m_Reply);
+  auto End = Speech.m_ReadReply(std::move(*m_Reply), *m_Exchange);
   m_Reply.reset();
   if (!Reuse) {
     finish(std::move(End));
@@ -174,6 +208,14 @@
   release(std::move(End));
 }
 
+/// Notes when the server will close the connection if it stays idle.
+void BackendConnection::noteKeepAlive(const HttpReply &Message) {
+  // The last request must be on its way well before the server closes.
+  constexpr std::chrono::milliseconds Margin(500);
+  const auto Time = keepAliveTime(Message);
+  m_UsableUntil = Time ? SystemClock().now() + *Time - Margin : TimePoint::max();
+}
+
 void BackendConnection::release(ExchangeEnd End) {
   // Idle before the kernel hears of the end, so that its next dispatch finds the connection.
   const auto Id = m_Exchange->m_Id;
@@ -197,7 +239,7 @@
   ExchangeEnd End;
   if (m_Reply) {
     // The whole reply came while the request was still being written.
-    End = exchangeEnd(std::move(*m_Reply));
+    End = m_Pool->m_Options.m_Dialect->m_ReadReply(std::move(*m_Reply), *m_Exchange);
     m_Reply.reset();
   } else if (IsLate) {
     report(observe::ReplyFault::Late);
--- a/src/net/backend_exchange.cpp
+++ b/src/net/backend_exchange.cpp
@@ -1,6 +1,7 @@
 #include "vanillahill/net/detail/backend_exchange.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace vanillahill::net {
 
@@ -9,7 +10,6 @@
 constexpr unsigned HttpVersion = 11;
 constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned LastStatus = 599;
-constexpr std::string_view HealthPath = "/vh/health";
 constexpr std::string_view ExchangeHeader = "VH-Exchange";
 
 bool isTrue(const HttpReply &Message, std::string_view Name) { return Message[Name] == "true"; }
@@ -18,8 +18,8 @@
   return Status == http::status::no_content || Status == http::status::not_modified;
 }
 
-HttpRequest healthMessage() {
-  HttpRequest Message(http::verb::get, HealthPath, HttpVersion);
+HttpRequest healthMessage(const std::string &Path) {
+  HttpRequest Message(http::verb::get, Path, HttpVersion);
   Message.set(http::field::host, "vanillahill");
   return Message;
 }
@@ -28,7 +28,7 @@
 
 HttpRequest exchangeMessage(const BackendExchange &Exchange, std::string_view VmName,
                             TimePoint Now) {
-  auto Message = Exchange.isProbe() ? healthMessage() : Exchange.m_Request->m_Message;
+  auto Message = Exchange.isProbe() ? healthMessage(Exchange.m_HealthPath) : Exchange.m_Request->m_Message;
   const auto Left = std::max<std::int64_t>(toMillis(Exchange.m_Deadline - Now), 0);
   Message.set("VH-Deadline-Ms", std::to_string(Left));
   Message.set(ExchangeHeader, std::to_string(Exchange.m_Id));
@@ -51,8 +51,25 @@
          hasNoBody(Message.result());
 }
 
-ExchangeEnd exchangeEnd(HttpReply Message) {
+std::optional<Duration> keepAliveTime(const HttpReply &Message) {
+  constexpr std::string_view Name = "timeout=";
+  const auto Value = Message[http::field::keep_alive];
+  const std::string_view Text(Value.data(), Value.size());
+  const auto Begin = Text.find(Name);
+  if (Begin == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::uint32_t Seconds = 0;
+  const auto *First = Text.data() + Begin + Name.size();
+  if (std::from_chars(First, Text.data() + Text.size(), Seconds).ec != std::errc{}) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(Seconds);
+}
+
+ExchangeEnd exchangeEnd(HttpReply Message, const BackendExchange & /*Exchange*/) {
   ExchangeEnd End;
+  End.m_Answered = true;
   End.m_ServerLeaving = isTrue(Message, "VH-Leaving");
   if (Message.result() == http::status::service_unavailable && isTrue(Message, "VH-Not-Run")) {
     End.m_Result = kernel::AttemptResult::NotRun;
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -8,17 +8,15 @@
 
 namespace {
 
-/// Connections kept idle beyond those that waiting requests need.
-constexpr std::size_t SpareConnections = 1;
 /// Measuring requests have ids of their own range, above those of attempts.
 constexpr std::uint64_t FirstProbeId = 1ULL << 63U;
-constexpr std::chrono::seconds ProbeTimeout(1);
 
 } // namespace
 
 BackendPool::BackendPool(asio::io_context &Io, std::string VmName, EventSink Post,
-                         observe::Metrics &Metrics)
-    : m_Io(Io), m_VmName(std::move(VmName)), m_Post(std::move(Post)), m_Metrics(Metrics) {}
+                         observe::Metrics &Metrics, BackendPoolOptions Options)
+    : m_Io(Io), m_VmName(std::move(VmName)), m_Post(std::move(Post)), m_Metrics(Metrics),
+      m_Options(Options) {}
 
 BackendPool::~BackendPool() = default;
 
@@ -30,7 +28,7 @@
     for (const auto &Service : Settings.m_Services) {
       for (const auto &Listing : Service.m_Servers) {
         Listed.insert(Listing.m_Id);
-        applyServer(Listing, std::max(Settings.m_Membership.m_MaxVms, 1U), Steps);
+        applyServer(Listing, Service, std::max(Settings.m_Membership.m_MaxVms, 1U), Steps);
       }
     }
     dropUnlisted(Listed, Steps);
@@ -38,8 +36,11 @@
   carryOut(std::move(Steps));
 }
 
-void BackendPool::applyServer(const ServerSettings &Settings, std::size_t MaxVms, Work &Out) {
+void BackendPool::applyServer(const ServerSettings &Settings, const ServiceSettings &Service,
+                              std::size_t MaxVms, Work &Out) {
   auto &Target = m_Servers[Settings.m_Id];
+  Target.m_Name = Settings.m_Name;
+  Target.m_HealthPath = Service.m_HealthPath;
   if (Target.m_Address != Settings.m_Address) {
     const auto Where = parseEndpoint(Settings.m_Address);
     if (!Where) {
@@ -56,7 +57,7 @@
   if (Target.m_IsLeaving) {
     closeIdle(Target, Out);
   } else {
-    openConnections(Settings.m_Id, Target, SpareConnections, Out);
+    openConnections(Settings.m_Id, Target, m_Options.m_SpareConnections, Out);
   }
 }
 
@@ -84,10 +85,10 @@
     return;
   }
   start(
-      std::make_shared<const BackendExchange>(BackendExchange{.m_Id = raw(Dispatch.m_Attempt),
-                                                              .m_Request = std::move(Request),
-                                                              .m_Server = Dispatch.m_Server,
-                                                              .m_Deadline = Dispatch.m_Deadline}));
+      {.m_Id = raw(Dispatch.m_Attempt),
+       .m_Request = std::move(Request),
+       .m_Server = Dispatch.m_Server,
+       .m_Deadline = Dispatch.m_Deadline});
 }
 
 void BackendPool::probe(ServerId Target) {
@@ -101,19 +102,25 @@
     }
   }
   m_Metrics.countProbe();
-  start(std::make_shared<const BackendExchange>(BackendExchange{
-      .m_Id = Id, .m_Server = Target, .m_Deadline = SystemClock().now() + ProbeTimeout}));
+  start({.m_Id = Id,
+         .m_Server = Target,
+         .m_Deadline = SystemClock().now() + m_Options.m_ProbeTimeout});
 }
 
-void BackendPool::start(const std::shared_ptr<const BackendExchange> &Exchange) {
+void BackendPool::start(BackendExchange Begun) {
   Work Steps;
-  const auto Id = Exchange->m_Id;
+  const auto Id = Begun.m_Id;
   {
     const std::lock_guard Lock(m_Mutex);
+    const auto Found = m_Servers.find(Begun.m_Server);
+    if (Found != m_Servers.end()) {
+      Begun.m_ServerName = Found->second.m_Name;
+      Begun.m_HealthPath = Begun.isProbe() ? Found->second.m_HealthPath : std::string();
+    }
+    const auto Exchange = std::make_shared<const BackendExchange>(std::move(Begun));
     auto Deadline = std::make_shared<asio::steady_timer>(m_Io);
     armDeadline(Exchange, *Deadline);
     m_Running[Id] = {Exchange, nullptr, std::move(Deadline)};
-    const auto Found = m_Servers.find(Exchange->m_Server);
     if (Found == m_Servers.end() || !Found->second.m_IsListed) {
       Steps.m_NotSent.push_back(Id);
     } else {
@@ -121,7 +128,7 @@
       Target.m_Waiting.push_back(Id);
       matchWaiting(Target, Steps);
       const bool IsLow = Target.m_Idle.empty() && !Exchange->isProbe();
-      openConnections(Exchange->m_Server, Target, IsLow ? SpareConnections : 0, Steps);
+      openConnections(Exchange->m_Server, Target, IsLow ? m_Options.m_SpareConnections : 0, Steps);
     }
   }
   carryOut(std::move(Steps));
@@ -129,7 +136,7 @@
 
 void BackendPool::armDeadline(const std::shared_ptr<const BackendExchange> &Exchange,
                               asio::steady_timer &Deadline) {
-  Deadline.expires_at(Exchange->m_Deadline);
+  Deadline.expires_at(Exchange->m_Deadline + m_Options.m_LateGrace);
   Deadline.async_wait([Self = shared_from_this(), Id = Exchange->m_Id](ErrorCode Failure) {
     if (!Failure) {
       Self->giveUp(Id, true);
@@ -160,7 +167,18 @@
   }
 }
 
+/// A connection that its server may close at any moment must not carry a request.
+void BackendPool::closeExpired(Server &Target, Work &Out) {
+  const auto Now = SystemClock().now();
+  const auto Fresh = std::stable_partition(
+      Target.m_Idle.begin(), Target.m_Idle.end(),
+      [Now](const BackendConnectionPtr &Connection) { return Connection->usableUntil() <= Now; });
+  std::move(Target.m_Idle.begin(), Fresh, std::back_inserter(Out.m_Close));
+  Target.m_Idle.erase(Target.m_Idle.begin(), Fresh);
+}
+
 void BackendPool::matchWaiting(Server &Target, Work &Out) {
+  closeExpired(Target, Out);
   while (!Target.m_Waiting.empty() && !Target.m_Idle.empty()) {
     auto &Next = m_Running[Target.m_Waiting.front()];
     Target.m_Waiting.pop_front();
@@ -243,14 +261,20 @@
     const bool IsHealthy = End.m_Result == kernel::AttemptResult::Completed &&
                            End.m_Reply->m_Status == static_cast<unsigned>(http::status::ok) &&
                            !End.m_ServerLeaving;
-    m_Post(kernel::ProbeEnded{Ended.m_Exchange->m_Server, IsHealthy});
+    m_Post(kernel::ProbeEnded{.m_Server = Ended.m_Exchange->m_Server,
+                              .m_Healthy = IsHealthy,
+                              .m_Load = End.m_Load,
+                              .m_Answered = End.m_Answered,
+                              .m_WrongServer = End.m_WrongServer});
     return;
   }
   m_Metrics.countAttempt(End.m_Result);
   m_Post(kernel::AttemptEnded{.m_Attempt = static_cast<AttemptId>(Id),
                               .m_Result = End.m_Result,
                               .m_Reply = std::move(End.m_Reply),
-                              .m_ServerLeaving = End.m_ServerLeaving});
+                              .m_ServerLeaving = End.m_ServerLeaving,
+                              .m_Load = End.m_Load,
+                              .m_WrongServer = End.m_WrongServer});
 }
 
 void BackendPool::close() {
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -128,7 +128,7 @@
   auto Message = m_Reader.take();
   m_KeepAlive = Message.keep_alive();
   const auto Routes = m_Server->routes();
-  auto Parsed = parseCallerRequest(std::move(Message), Routes.get());
+  auto Parsed = m_Server->m_Dialect.m_ParseRequest(std::move(Message), Routes.get());
   if (Parsed.m_Fault != CallerFault::None) {
     refuse(Parsed.m_Fault);
     return;
@@ -151,7 +151,8 @@
                    }
                    Self->m_Answer = std::move(Moved);
                    const bool KeepAlive = Self->m_KeepAlive && !Self->m_Server->isLeaving();
-                   Self->m_Response = answerMessage(Self->m_Answer, Self->m_RefusalText, KeepAlive);
+                   Self->m_Response = Self->m_Server->m_Dialect.m_AnswerMessage(
+                       Self->m_Answer, Self->m_RefusalText, KeepAlive);
                    Self->write(KeepAlive);
                  });
 }
@@ -159,7 +160,7 @@
 void CallerConnection::refuse(CallerFault Fault) {
   report(Fault);
   const bool KeepAlive = !isFinal(Fault) && m_KeepAlive && !m_Server->isLeaving();
-  m_Response = faultMessage(Fault, m_RefusalText, KeepAlive);
+  m_Response = m_Server->m_Dialect.m_FaultMessage(Fault, m_RefusalText, KeepAlive);
   write(KeepAlive);
 }
 
@@ -265,7 +266,8 @@
   const auto Now = SystemClock().now();
   switch (Phase) {
   case CallerPhase::Idle:
-    CutAt = Now + IdleTimeouts * m_Limits.m_Timeout;
+    CutAt = Now + (m_Limits.m_IdleTimeout > Duration::zero() ? m_Limits.m_IdleTimeout
+                                                             : IdleTimeouts * m_Limits.m_Timeout);
     break;
   case CallerPhase::Receiving:
   case CallerPhase::Answering:
--- a/src/net/caller_request.cpp
+++ b/src/net/caller_request.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace vanillahill::net {
 
@@ -76,6 +77,48 @@
       m_Routes[Id] = {Service.m_Id, Kind.m_Id, std::move(Name)};
     }
   }
+  for (const RouteSettings &Listed : Settings.m_Routes) {
+    auto Added = std::make_unique<HostRoute>();
+    Added->m_Settings = Listed;
+    for (const RouteShare &Share : Listed.m_Shares) {
+      Added->m_WeightSum += Share.m_Weight;
+    }
+    m_Hosts[Listed.m_Host].push_back(std::move(Added));
+  }
+  for (auto &[Host, Routes] : m_Hosts) {
+    std::stable_sort(Routes.begin(), Routes.end(), [](const auto &Left, const auto &Right) {
+      return Left->m_Settings.m_PathPrefix.size() > Right->m_Settings.m_PathPrefix.size();
+    });
+  }
+}
+
+const RouteShare *RouteTable::match(std::string_view Host, std::string_view Path) const {
+  const auto Found = m_Hosts.find(std::string(Host));
+  if (Found == m_Hosts.end()) {
+    return nullptr;
+  }
+  for (const auto &Listed : Found->second) {
+    if (Path.starts_with(Listed->m_Settings.m_PathPrefix)) {
+      return &chooseShare(*Listed);
+    }
+  }
+  return nullptr;
+}
+
+const RouteShare &RouteTable::chooseShare(const HostRoute &Chosen) {
+  const auto &Shares = Chosen.m_Settings.m_Shares;
+  // Multiples of the golden ratio spread evenly over the unit interval, whatever their number.
+  constexpr double GoldenRatio = 0.6180339887498949;
+  const auto Count = Chosen.m_Count.fetch_add(1, std::memory_order_relaxed);
+  double Whole = 0.0;
+  double Position = std::modf(static_cast<double>(Count) * GoldenRatio, &Whole) * Chosen.m_WeightSum;
+  for (const RouteShare &Share : Shares) {
+    if (Position < Share.m_Weight) {
+      return Share;
+    }
+    Position -= Share.m_Weight;
+  }
+  return Shares.back();
 }
 
 const RouteTable::Route *RouteTable::find(std::string_view Target) const {
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -17,9 +17,9 @@
 } // namespace
 
 CallerServer::CallerServer(asio::io_context &Io, Acceptor Listener, EventSink Post,
-                           observe::Metrics &Metrics)
+                           observe::Metrics &Metrics, const Dialect &Speech)
     : m_Io(Io), m_Acceptor(std::move(Listener)), m_WatchTimer(m_Acceptor.get_executor()),
-      m_Post(std::move(Post)), m_Metrics(Metrics) {
+      m_Post(std::move(Post)), m_Metrics(Metrics), m_Dialect(Speech) {
   ErrorCode Ignored;
   m_Port = m_Acceptor.local_endpoint(Ignored).port();
 }
@@ -160,7 +160,8 @@
                                  .m_Service = Request->m_Service,
                                  .m_Kind = Request->m_Kind,
                                  .m_Key = Request->m_Key,
-                                 .m_KeyAge = Request->m_KeyAge};
+                                 .m_KeyAge = Request->m_KeyAge,
+                                 .m_TimeLeft = Request->m_TimeLeft};
   {
     const std::lock_guard Lock(m_Mutex);
     m_Requests[Id] = {std::move(Connection), std::move(Request), SystemClock().now()};
--- /dev/null
+++ b/src/net/dialect.cpp
@@ -0,0 +1,18 @@
+#include "vanillahill/net/detail/dialect.hpp"
+
+namespace vanillahill::net {
+
+const Dialect &ownDialect() {
+  static constexpr Dialect Own{
+      .m_ParseRequest = &parseCallerRequest,
+      .m_AnswerMessage = &answerMessage,
+      .m_FaultMessage = &faultMessage,
+      .m_ExchangeMessage = &exchangeMessage,
+      .m_BelongsTo = &belongsTo,
+      .m_ReadReply = &exchangeEnd,
+      .m_Replies = {},
+  };
+  return Own;
+}
+
+} // namespace vanillahill::net
--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -99,7 +99,8 @@
       PlatformOptions{.m_Address = m_Options.m_Vm.m_PlatformAddress,
                       .m_Seed = nodeOptions(m_Options).m_Seed},
       Post, m_Metrics);
-  m_Admin = std::make_shared<AdminServer>(m_Io, std::move(Admin), m_Options.m_Vm.m_AdminToken,
+  m_Admin = std::make_shared<AdminServer>(m_Io, std::move(Admin),
+                                          AdminAccess{.m_Token = m_Options.m_Vm.m_AdminToken},
                                           adminSources(), m_Metrics);
   m_Links = std::make_unique<peer::PeerLinks>(m_Io, linkOptions());
 }
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -25,10 +25,18 @@
                                                {"critical", spdlog::level::critical},
                                                {"off", spdlog::level::off}}};
 
+bool UsesStandardOutput = false;
+
+std::shared_ptr<spdlog::sinks::sink> makeSink() {
+  if (UsesStandardOutput) {
+    return std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  }
+  return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+}
+
 spdlog::logger &logger() {
   static const std::shared_ptr<spdlog::logger> Instance = [] {
-    auto Made = std::make_shared<spdlog::logger>("vanillahill",
-                                                 std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    auto Made = std::make_shared<spdlog::logger>("vanillahill", makeSink());
     // The line itself is JSON; the sink adds nothing.
     Made->set_pattern("%v");
     Made->flush_on(spdlog::level::warn);
@@ -64,6 +72,8 @@
 
 } // namespace
 
+void useStandardOutput() { UsesStandardOutput = true; }
+
 bool setLogLevel(std::string_view Name) {
   for (const auto &Known : LevelNames) {
     if (Known.m_Name == Name) {
