VMs read the store in turn and pass on what they learn

Now one VM reads when its random pause ends first and tells the others by datagram; each keeps its own clock of when a stream was last current, and reads when a datagram was lost. Ruled out: one fixed reader (it is struck first by the platform's faults), a long poll by each VM.

--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -79,6 +79,9 @@
   /// \return whether the records follow on what is known here and are to be taken
   bool heard(const RecordRange &Range, TimePoint Now);
 
+  /// \brief A stream has something that only the store can tell.
+  void readSoon(Stream Which, TimePoint Now);
+
   /// \brief Failed reads in a row.
   std::uint32_t failures() const { return m_Failures; }
 
--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -178,6 +178,11 @@
   std::uint64_t m_Next = 0;
 };
 
+/// Another VM saw a backend server fail.
+struct ServerFailureHeard {
+  ServerId m_Server{};
+};
+
 /// The process was told to stop.
 struct StopRequested {};
 
@@ -185,7 +190,8 @@
 struct TimerFired {};
 
 using Event = std::variant<RequestArrived, CallerGone, AttemptEnded, ProbeEnded, PeerReceived,
-                           VmListRead, LogRead, SettingsRead, StopRequested, TimerFired>;
+                           VmListRead, LogRead, SettingsRead,
+                           ServerFailureHeard, StopRequested, TimerFired>;
 
 /// Send the request to a backend server.
 struct Dispatch {
@@ -236,11 +242,16 @@
 /// New settings are in force; Node::settings() gives them.
 struct SettingsChanged {};
 
+/// Tell the other VMs that a backend server failed here.
+struct TellServerFailure {
+  ServerId m_Server{};
+};
+
 /// Nothing is in flight any more after StopRequested: the process may exit.
 struct Stopped {};
 
 using Action = std::variant<Dispatch, CancelAttempt, Answer, SendPeer, ConnectPeers, AppendLog,
-                            Probe, SettingsChanged, Stopped>;
+                            Probe, SettingsChanged, TellServerFailure, Stopped>;
 using Actions = std::vector<Action>;
 
 } // namespace vanillahill::kernel
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -65,7 +65,7 @@
   // Repeating.
   void armHedge(Request &Value, TimePoint Now);
   void hedge(Request &Value, TimePoint Now, Actions &Out);
-  void noteServer(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now);
+  void noteServer(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now, Actions &Out);
   void noteTime(BackendView &Backend, const Attempt &Sent, TimePoint Now);
   void conclude(Request &Value, const AttemptEnded &Ended, TimePoint Now, Actions &Out);
   bool retry(Request &Value, RetryReason Why, bool PaysToken, TimePoint Now, Actions &Out);
--- /dev/null
+++ b/include/vanillahill/net/detail/datagrams.hpp
@@ -0,0 +1,49 @@
+/// \file
+/// One UDP socket for messages between VMs.
+#pragma once
+
+#include "vanillahill/net/detail/types.hpp"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <memory>
+
+namespace vanillahill::net {
+
+/// Sends and receives datagrams; what is lost is lost. Used from one thread.
+class Datagrams : public std::enable_shared_from_this<Datagrams> {
+public:
+  /// Takes a datagram and the IP that it came from.
+  using Receiver = std::function<void(std::string_view Ip, std::string_view Datagram)>;
+
+  /// \brief Opens the socket.
+  /// \param Ip address of this VM
+  /// \param Port the same on all VMs
+  /// \return the socket, or Errc::AddressUnusable
+  static Result<std::shared_ptr<Datagrams>> open(asio::io_context &Io, const std::string &Ip,
+                                                 std::uint16_t Port);
+
+  explicit Datagrams(asio::ip::udp::socket Opened) : m_Socket(std::move(Opened)) {}
+
+  /// \brief Begins to receive.
+  void start(Receiver OnDatagram);
+
+  /// \brief Sends a datagram; a full buffer drops it.
+  void send(const std::string &Ip, std::string_view Datagram);
+
+  void close();
+
+private:
+  void receive();
+
+  /// Longest datagram that is taken.
+  static constexpr std::size_t MostBytes = 2048;
+
+  asio::ip::udp::socket m_Socket;
+  asio::ip::udp::endpoint m_From;
+  std::array<char, MostBytes> m_Buffer{};
+  Receiver m_OnDatagram;
+};
+
+} // namespace vanillahill::net
--- /dev/null
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -0,0 +1,116 @@
+/// \file
+/// Keeps this VM's catalog current: reads the store in turn with the other VMs and passes on what
+/// each of them learns.
+#pragma once
+
+#include "vanillahill/fleet/catalog.hpp"
+#include "vanillahill/fleet/follower.hpp"
+#include "vanillahill/fleet/news.hpp"
+#include "vanillahill/fleet/peers.hpp"
+#include "vanillahill/net/detail/datagrams.hpp"
+
+namespace vanillahill::net {
+
+/// What a read of the store came to.
+struct StoreRead {
+  /// Offset to go on from.
+  std::uint64_t m_To = 0;
+  std::vector<fleet::Record> m_Records;
+  /// The records are the newest of every key, and there is no other key.
+  bool m_IsWhole = false;
+};
+
+/// Why a read of the store failed.
+struct StoreFailure {
+  Error m_Error;
+  /// The store no longer keeps the records from the position on.
+  bool m_IsPositionLost = false;
+};
+
+using StoreResult = boost::system::result<StoreRead, StoreFailure>;
+using StoreReadDone = std::function<void(StoreResult)>;
+
+/// The store as a fleet client uses it: how it is read, and how its records are decoded.
+struct StoreAccess {
+  /// Reads a stream from a position, or the newest record of every key without one.
+  std::function<void(fleet::Stream, std::optional<std::uint64_t>, StoreReadDone)> m_Read;
+  Result<fleet::Configuration> (*m_DecodeConfiguration)(std::string_view Text) = nullptr;
+  Result<fleet::ServerEntry> (*m_DecodeServer)(std::string_view Id, std::string_view Text) = nullptr;
+  /// Key of the configuration; other keys of its stream are ignored.
+  std::string m_ConfigurationKey;
+};
+
+struct FleetClientOptions {
+  fleet::CatalogOptions m_Catalog;
+  fleet::FollowerOptions m_Follower;
+  fleet::PeersOptions m_Peers;
+  /// The settings changed.
+  std::function<void(std::shared_ptr<const SiteSettings>)> m_OnSettings;
+  /// Another VM saw a backend server fail.
+  std::function<void(ServerId)> m_OnServerFailed;
+};
+
+/// Used from one thread.
+class FleetClient : public std::enable_shared_from_this<FleetClient> {
+public:
+  FleetClient(asio::io_context &Io, StoreAccess Store, std::shared_ptr<Datagrams> Link,
+              FleetClientOptions Options);
+
+  void start();
+  void close();
+
+  /// \brief Tells the other VMs that a backend server failed here.
+  void tellServerFailed(ServerId Server);
+
+  /// \brief Whether there is a configuration and a server.
+  bool isUsable() const { return m_Catalog.isUsable(); }
+
+  /// \brief Version of the configuration in force; 0 for none.
+  std::uint64_t version() const { return m_Catalog.version(); }
+
+  std::size_t fleetSize() const { return m_Peers.fleetSize(); }
+  std::size_t serverCount() const { return m_Catalog.serverCount(); }
+
+private:
+  void step();
+  void arm();
+  void onRead(fleet::Stream Which, std::optional<std::uint64_t> From, TimePoint AskedAt,
+              StoreResult Result);
+  bool take(fleet::Stream Which, const StoreRead &Read, std::vector<bool> &Keeps, TimePoint Now);
+  bool takeConfiguration(const std::string &Text);
+  bool takeServer(const fleet::Record &Entry, TimePoint Now);
+  void tellNews(const fleet::RecordRange &Range, const std::vector<bool> &Keeps, TimePoint Now);
+  void putInForce();
+
+  void onDatagram(std::string_view Ip, std::string_view Datagram);
+  void on(std::string_view Ip, const fleet::Hello &Message, TimePoint Now);
+  void on(std::string_view Ip, const fleet::PeerList &Message, TimePoint Now);
+  void on(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now);
+  void on(std::string_view Ip, const fleet::ServerFailed &Message, TimePoint Now);
+  void on(std::string_view Ip, const fleet::ConfigurationWanted &Message, TimePoint Now);
+  void on(std::string_view Ip, const fleet::ConfigurationPiece &Message, TimePoint Now);
+  void greet();
+  void sendToAll(const fleet::News &Message);
+  void send(const std::string &Ip, const fleet::News &Message);
+  bool mayTell(ServerId Server, TimePoint Now);
+
+  StoreAccess m_Store;
+  std::shared_ptr<Datagrams> m_Link;
+  FleetClientOptions m_Options;
+  asio::steady_timer m_Timer;
+  fleet::Catalog m_Catalog;
+  fleet::Follower m_Follower;
+  fleet::Peers m_Peers;
+  fleet::PieceCollector m_Pieces;
+  /// Text of the configuration in force, for VMs that the store does not answer.
+  std::string m_ConfigurationText;
+  /// Removals count only after a grace until then; told to other VMs.
+  TimePoint m_LapseUntil{};
+  /// Fleet size that the settings in force were made for.
+  std::size_t m_SettingsFleetSize = 1;
+  /// When a failure of a server was last told.
+  std::map<ServerId, TimePoint> m_ToldAt;
+  bool m_Closed = false;
+};
+
+} // namespace vanillahill::net
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -79,6 +79,10 @@
   return IsNew;
 }
 
+void Follower::readSoon(Stream Which, TimePoint Now) {
+  state(Which).m_ReadAt = std::min(state(Which).m_ReadAt, Now);
+}
+
 void Follower::schedule(StreamState &Value) {
   std::uniform_real_distribution<double> Spread(0.0, SpreadShare);
   const auto Wait = m_Options.m_Bound * (PeriodShare + Spread(m_Random));
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -327,6 +327,12 @@
     Out.push_back(SettingsChanged{});
   }
 
+  void on(const ServerFailureHeard &Input, TimePoint Now, Actions & /*Out*/) {
+    for (auto &[Id, Dispatcher] : m_Dispatchers) {
+      Dispatcher->peerMark(Input.m_Server, false, Now);
+    }
+  }
+
   void on(const StopRequested & /*Input*/, TimePoint Now, Actions &Out) {
     if (!m_StopAt) {
       m_StopAt = Now + m_Options.m_DrainLinger;
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -364,7 +364,7 @@
   }
   const Attempt Sent = Found->second;
   m_Attempts.erase(Found);
-  noteServer(Sent, Ended, Now);
+  noteServer(Sent, Ended, Now, Out);
   if (Sent.m_IsPaid && Ended.m_Result == AttemptResult::NotSent) {
     m_Budget.giveBack();
   }
@@ -378,7 +378,8 @@
   checkInvariants();
 }
 
-void Dispatcher::noteServer(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now) {
+void Dispatcher::noteServer(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now,
+                            Actions &Out) {
   BackendView *Backend = findBackend(Sent.m_Server);
   if (Backend == nullptr) {
     return;
@@ -395,6 +396,7 @@
   case AttemptResult::Completed:
     if (isServerError(*Ended.m_Reply)) {
       Backend->addFailure(1.0, Now);
+      Out.push_back(TellServerFailure{Sent.m_Server});
     } else {
       Backend->takeSuccess(Now);
       noteTime(*Backend, Sent, Now);
@@ -404,8 +406,11 @@
     Backend->addFailure(Ended.m_WrongServer ? SetAsideFailures : RefusedWork, Now);
     return;
   case AttemptResult::NotSent:
+    Backend->addFailure(1.0, Now);
+    return;
   case AttemptResult::Unknown:
     Backend->addFailure(1.0, Now);
+    Out.push_back(TellServerFailure{Sent.m_Server});
     return;
   }
 }
--- /dev/null
+++ b/src/net/fleet_client.cpp
@@ -0,0 +1,309 @@
+#include "vanillahill/net/detail/fleet_client.hpp"
+
+#include "vanillahill/observe/log.hpp"
+
+#include <set>
+
+namespace vanillahill::net {
+
+namespace {
+
+using fleet::Stream;
+using observe::LogLevel;
+
+/// A failure of one server is told at most once in this time.
+constexpr Duration TellPause = std::chrono::milliseconds(150);
+/// Servers whose failures are remembered at most.
+constexpr std::size_t MostTold = 4096;
+/// Failed reads after which the other VMs are asked for the configuration.
+constexpr std::uint32_t FailuresBeforeAsking = 1;
+
+std::string_view toString(Stream Which) {
+  return Which == Stream::Configuration ? "configuration" : "servers";
+}
+
+} // namespace
+
+FleetClient::FleetClient(asio::io_context &Io, StoreAccess Store, std::shared_ptr<Datagrams> Link,
+                         FleetClientOptions Options)
+    : m_Store(std::move(Store)), m_Link(std::move(Link)), m_Options(std::move(Options)),
+      m_Timer(Io), m_Catalog(m_Options.m_Catalog), m_Follower(m_Options.m_Follower),
+      m_Peers(m_Options.m_Peers) {}
+
+void FleetClient::start() {
+  m_Link->start([Self = weak_from_this()](std::string_view Ip, std::string_view Datagram) {
+    if (const auto Locked = Self.lock()) {
+      Locked->onDatagram(Ip, Datagram);
+    }
+  });
+  step();
+}
+
+void FleetClient::close() {
+  m_Closed = true;
+  m_Timer.cancel();
+  m_Link->close();
+}
+
+void FleetClient::step() {
+  const auto Now = SystemClock().now();
+  if (m_Catalog.tick(Now)) {
+    putInForce();
+  }
+  greet();
+  if (const auto Which = m_Follower.nextRead(Now)) {
+    const auto From = m_Follower.position(*Which);
+    m_Store.m_Read(*Which, From,
+                   [Self = shared_from_this(), Which = *Which, From, Now](StoreResult Result) {
+                     if (!Self->m_Closed) {
+                       Self->onRead(Which, From, Now, std::move(Result));
+                     }
+                   });
+  }
+  arm();
+}
+
+void FleetClient::arm() {
+  const auto Next =
+      std::min({m_Follower.nextTimer(), m_Catalog.nextTimer(), m_Peers.nextTimer()});
+  m_Timer.expires_at(Next);
+  m_Timer.async_wait([Self = shared_from_this()](ErrorCode Failure) {
+    if (!Failure && !Self->m_Closed) {
+      Self->step();
+    }
+  });
+}
+
+void FleetClient::onRead(Stream Which, std::optional<std::uint64_t> From, TimePoint AskedAt,
+                         StoreResult Result) {
+  const auto Now = SystemClock().now();
+  if (!Result) {
+    const StoreFailure &Failed = Result.error();
+    m_Follower.readFailed(Which, Failed.m_IsPositionLost, Now);
+    observe::logFault("store_read_failed", Failed.m_Error);
+    if (m_Follower.failures() == FailuresBeforeAsking) {
+      observe::log(LogLevel::Warning, "store_lost", {{"stream", std::string(toString(Which))}});
+    }
+    if (!Failed.m_IsPositionLost && m_Follower.failures() >= FailuresBeforeAsking) {
+      sendToAll(fleet::ConfigurationWanted{.m_Version = m_Catalog.version()});
+    }
+    step();
+    return;
+  }
+  if (m_Follower.readSucceeded(Which, Result->m_To, AskedAt, Now)) {
+    m_LapseUntil = Now + fleet::Catalog::LapseGrace;
+    m_Catalog.storeReturned(Now);
+    observe::log(LogLevel::Info, "store_regained", {});
+  }
+  std::vector<bool> Keeps;
+  const bool Changed = take(Which, *Result, Keeps, Now);
+  const bool IsRange = From && !Result->m_IsWhole && *From + Result->m_Records.size() == Result->m_To;
+  fleet::RecordRange Range{.m_Stream = Which,
+                           .m_From = IsRange ? *From : Result->m_To,
+                           .m_To = Result->m_To,
+                           .m_AskedAt = AskedAt};
+  if (IsRange) {
+    Range.m_Records = std::move(Result->m_Records);
+  } else {
+    Keeps.clear();
+  }
+  tellNews(Range, Keeps, Now);
+  if (Changed) {
+    putInForce();
+  }
+  step();
+}
+
+bool FleetClient::take(Stream Which, const StoreRead &Read, std::vector<bool> &Keeps,
+                       TimePoint Now) {
+  bool Changed = false;
+  std::set<std::string, std::less<>> Listed;
+  for (const fleet::Record &Entry : Read.m_Records) {
+    bool IsNew = false;
+    if (Which == Stream::Servers) {
+      Listed.insert(Entry.m_Key);
+      IsNew = takeServer(Entry, Now);
+      // A removal may be held back here and not elsewhere, and the other way round.
+      Keeps.push_back(IsNew || !Entry.m_Value || Now < m_LapseUntil);
+    } else {
+      const bool IsOurs = Entry.m_Key == m_Store.m_ConfigurationKey && Entry.m_Value;
+      IsNew = IsOurs && takeConfiguration(*Entry.m_Value);
+      Keeps.push_back(IsOurs);
+    }
+    Changed = Changed || IsNew;
+  }
+  if (Which == Stream::Servers && Read.m_IsWhole) {
+    Changed = m_Catalog.keepOnly(Listed, Now) || Changed;
+  }
+  return Changed;
+}
+
+bool FleetClient::takeConfiguration(const std::string &Text) {
+  auto Decoded = m_Store.m_DecodeConfiguration(Text);
+  if (!Decoded) {
+    observe::logFault("configuration_refused", Decoded.error());
+    return false;
+  }
+  const auto Version = Decoded->m_Version;
+  if (!m_Catalog.apply(std::move(*Decoded))) {
+    return false;
+  }
+  m_ConfigurationText = Text;
+  observe::log(LogLevel::Info, "configuration_taken", {{"version", std::to_string(Version)}});
+  return true;
+}
+
+bool FleetClient::takeServer(const fleet::Record &Entry, TimePoint Now) {
+  if (!Entry.m_Value) {
+    const bool Changed = m_Catalog.remove(Entry.m_Key, Now);
+    if (Changed) {
+      observe::log(LogLevel::Info, "server_removed", {{"server", Entry.m_Key}});
+    }
+    return Changed;
+  }
+  const auto Decoded = m_Store.m_DecodeServer(Entry.m_Key, *Entry.m_Value);
+  if (!Decoded) {
+    observe::logFault("server_record_skipped", Decoded.error());
+    return false;
+  }
+  const bool Changed = m_Catalog.apply(*Decoded, Now);
+  if (Changed) {
+    observe::log(LogLevel::Info, "server_changed",
+                 {{"server", Entry.m_Key},
+                  {"state", Decoded->m_Draining ? "draining" : "ready"},
+                  {"born_ms", std::to_string(Decoded->m_BornMillis)},
+                  {"sequence", std::to_string(Decoded->m_Sequence)}});
+  }
+  return Changed;
+}
+
+void FleetClient::tellNews(const fleet::RecordRange &Range, const std::vector<bool> &Keeps,
+                           TimePoint Now) {
+  const auto Flags = std::make_unique<bool[]>(Keeps.size());
+  std::copy(Keeps.begin(), Keeps.end(), Flags.get());
+  for (const fleet::StoreNews &Part : fleet::splitNews(
+           Range, {Flags.get(), Keeps.size()}, Now - Range.m_AskedAt, Now < m_LapseUntil)) {
+    sendToAll(Part);
+  }
+  m_Peers.toldAll(Now);
+}
+
+void FleetClient::putInForce() {
+  m_SettingsFleetSize = m_Peers.fleetSize();
+  m_Catalog.setFleetSize(static_cast<std::uint32_t>(m_SettingsFleetSize));
+  if (auto Settings = m_Catalog.settings()) {
+    m_Options.m_OnSettings(std::move(Settings));
+  }
+}
+
+void FleetClient::onDatagram(std::string_view Ip, std::string_view Datagram) {
+  const auto Message = fleet::decodeNews(Datagram);
+  if (!Message) {
+    Error Fault = Message.error();
+    Fault.m_Peer = std::string(Ip);
+    observe::logFault("datagram_refused", Fault);
+    return;
+  }
+  const auto Now = SystemClock().now();
+  if (m_Peers.heard(Ip, Now)) {
+    observe::log(LogLevel::Info, "vm_found", {{"ip", std::string(Ip)}});
+  }
+  std::visit([&](const auto &Typed) { on(Ip, Typed, Now); }, *Message);
+}
+
+void FleetClient::on(std::string_view Ip, const fleet::Hello &Message, TimePoint /*Now*/) {
+  if (Message.m_AsksForPeers) {
+    send(std::string(Ip), fleet::PeerList{.m_Ips = m_Peers.all()});
+  }
+}
+
+void FleetClient::on(std::string_view /*Ip*/, const fleet::PeerList &Message, TimePoint Now) {
+  for (const std::string &Added : m_Peers.learn(Message.m_Ips, Now)) {
+    send(Added, fleet::Hello{});
+  }
+}
+
+void FleetClient::on(std::string_view /*Ip*/, const fleet::StoreNews &Message, TimePoint Now) {
+  if (Message.m_MayHaveLapsed && Now >= m_LapseUntil) {
+    m_LapseUntil = Now + fleet::Catalog::LapseGrace;
+    m_Catalog.storeReturned(Now);
+  }
+  const fleet::RecordRange Range{.m_Stream = Message.m_Stream,
+                                 .m_From = Message.m_From,
+                                 .m_To = Message.m_To,
+                                 .m_AskedAt = Now - Message.m_Age};
+  if (Message.m_IsPartial) {
+    m_Follower.readSoon(Message.m_Stream, Now);
+  } else if (m_Follower.heard(Range, Now)) {
+    std::vector<bool> Ignored;
+    if (take(Message.m_Stream, {.m_To = Message.m_To, .m_Records = Message.m_Records}, Ignored,
+             Now)) {
+      putInForce();
+    }
+  }
+  step();
+}
+
+void FleetClient::on(std::string_view /*Ip*/, const fleet::ServerFailed &Message,
+                     TimePoint /*Now*/) {
+  m_Options.m_OnServerFailed(Message.m_Server);
+}
+
+void FleetClient::on(std::string_view Ip, const fleet::ConfigurationWanted &Message,
+                     TimePoint /*Now*/) {
+  if (m_Catalog.version() <= Message.m_Version) {
+    return;
+  }
+  for (auto &Piece : fleet::cutConfiguration(m_Catalog.version(), m_ConfigurationText)) {
+    send(std::string(Ip), std::move(Piece));
+  }
+}
+
+void FleetClient::on(std::string_view /*Ip*/, const fleet::ConfigurationPiece &Message,
+                     TimePoint /*Now*/) {
+  if (Message.m_Version <= m_Catalog.version()) {
+    return;
+  }
+  const auto Whole = m_Pieces.take(Message);
+  if (Whole && takeConfiguration(*Whole)) {
+    putInForce();
+  }
+}
+
+void FleetClient::greet() {
+  const auto Due = m_Peers.dueHellos(SystemClock().now());
+  for (const std::string &Ip : Due) {
+    send(Ip, fleet::Hello{.m_AsksForPeers = m_Peers.isAlone()});
+  }
+}
+
+void FleetClient::tellServerFailed(ServerId Server) {
+  if (mayTell(Server, SystemClock().now())) {
+    sendToAll(fleet::ServerFailed{.m_Server = Server});
+  }
+}
+
+bool FleetClient::mayTell(ServerId Server, TimePoint Now) {
+  if (m_ToldAt.size() >= MostTold) {
+    m_ToldAt.clear();
+  }
+  const auto [Known, IsNew] = m_ToldAt.try_emplace(Server, Now);
+  if (!IsNew && Now - Known->second < TellPause) {
+    return false;
+  }
+  Known->second = Now;
+  return true;
+}
+
+void FleetClient::sendToAll(const fleet::News &Message) {
+  const std::string Datagram = fleet::encodeNews(Message);
+  for (const std::string &Ip : m_Peers.all()) {
+    m_Link->send(Ip, Datagram);
+  }
+}
+
+void FleetClient::send(const std::string &Ip, const fleet::News &Message) {
+  m_Link->send(Ip, fleet::encodeNews(Message));
+}
+
+} // namespace vanillahill::net
