Probes have a budget: this VM's part of what a backend server may be asked

When most servers are slow or full, each search went through all its rounds. Now a token bucket of this VM's equal part limits them: the less is left, the fewer servers a search asks.

--- a/include/vanillahill/fleet/catalog.hpp
+++ b/include/vanillahill/fleet/catalog.hpp
@@ -74,6 +74,8 @@
   double m_RetryRatio = 0.1;
   Duration m_RetryWindow = std::chrono::seconds(10);
   std::string m_Policy = "probed";
+  /// Probes that a backend server may get in a second, over all VMs.
+  double m_MeasuringBudget = 10.0;
 };
 
 /// Holds the newest configuration and the servers, and merges both into settings. Not thread safe.
@@ -137,6 +139,7 @@
   };
 
   ServiceSettings serviceSettings(const Service &Listed) const;
+  std::uint32_t reservedFleetSize() const;
   void removeNow(std::string_view Id);
 
   CatalogOptions m_Options;
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -4,6 +4,7 @@
 
 #include "vanillahill/kernel/dispatcher_base.hpp"
 #include "vanillahill/kernel/probed/placement.hpp"
+#include "vanillahill/kernel/probed/probe_budget.hpp"
 #include "vanillahill/kernel/probed/request.hpp"
 #include "vanillahill/kernel/probed/retry_budget.hpp"
 
@@ -89,6 +90,7 @@
   std::vector<RequestId> m_Searching;
   RequestTimers m_Timers;
   RetryBudget m_Budget;
+  ProbeBudget m_Probes;
   /// Round trip of a probe, seconds.
   Ewma m_ProbeSeconds{0.005, 0.05};
   /// Servers of the service tell their load; unknown until one has answered.
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -89,6 +89,7 @@
   void on(std::string_view Ip, const fleet::ServerFailed &Message, TimePoint Now);
   void on(std::string_view Ip, const fleet::ConfigurationWanted &Message, TimePoint Now);
   void on(std::string_view Ip, const fleet::ConfigurationPiece &Message, TimePoint Now);
+  bool hasFleetChanged() const;
   void greet();
   void sendToAll(const fleet::News &Message);
   void send(const std::string &Ip, const fleet::News &Message);
--- a/include/vanillahill/settings/settings.hpp
+++ b/include/vanillahill/settings/settings.hpp
@@ -52,6 +52,9 @@
   std::string m_Name = "leased";
   /// Requests that exist only to measure, per backend server and second, over all VMs.
   double m_MeasuringBudget = 2.0;
+  /// This VM's part of the measuring budget, in requests a second to all servers of the service.
+  /// Used by the policy set "probed".
+  double m_ProbesPerSecond = 50.0;
   /// Retries and hedges as a share of first attempts.
   double m_RetryRatio = 0.1;
   /// A hedge is sent when an attempt has run for this multiple of the usual time; 0 turns it off.
--- a/src/fleet/catalog.cpp
+++ b/src/fleet/catalog.cpp
@@ -8,8 +8,9 @@
 
 /// Departed servers remembered at most; the store's own records of them are long gone by then.
 constexpr std::size_t MostDeparted = 4096;
-/// Connections a VM may open to a server beyond an equal share: VMs come and go.
-constexpr std::uint32_t FleetReserve = 2;
+/// Shares of budgets are made for a fleet that is larger than what is known by a quarter: VMs come
+/// and go, and a VM learns of another one late.
+constexpr std::uint32_t FleetReserveDivisor = 4;
 
 /// A kind of request: a route at one of its services.
 std::string kindName(const Route &Value, std::string_view Service) {
@@ -143,7 +144,7 @@
   auto Made = std::make_shared<SiteSettings>();
   Made->m_Idempotency.m_Enabled = false;
   Made->m_Callers = m_Configuration->m_Limits;
-  Made->m_Membership.m_MaxVms = m_FleetSize * FleetReserve;
+  Made->m_Membership.m_MaxVms = reservedFleetSize();
   for (const Service &Listed : m_Configuration->m_Services) {
     Made->m_Services.push_back(serviceSettings(Listed));
   }
@@ -159,6 +160,10 @@
   return Made;
 }
 
+std::uint32_t Catalog::reservedFleetSize() const {
+  return m_FleetSize + m_FleetSize / FleetReserveDivisor + 1;
+}
+
 ServiceSettings Catalog::serviceSettings(const Service &Listed) const {
   ServiceSettings Made{.m_Id = idOf<ServiceId>(Listed.m_Name),
                        .m_Name = Listed.m_Name,
@@ -189,6 +194,9 @@
                               .m_Leaving = Entry.m_Draining,
                               .m_ColdUntil = Server.m_ColdUntil});
   }
+  Made.m_Policy.m_ProbesPerSecond = m_Options.m_MeasuringBudget *
+                                    static_cast<double>(Made.m_Servers.size()) /
+                                    reservedFleetSize();
   return Made;
 }
 
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -40,11 +40,12 @@
   configure(Options.m_Settings, Options.m_Now);
 }
 
-void Dispatcher::configure(const ServiceSettings &Settings, TimePoint /*Now*/) {
+void Dispatcher::configure(const ServiceSettings &Settings, TimePoint Now) {
   m_Settings = Settings;
   assignBackends();
   assignKinds();
   m_Budget.configure(m_Settings.m_Policy.m_RetryRatio, m_Settings.m_Policy.m_RetryWindow);
+  m_Probes.configure(m_Settings.m_Policy.m_ProbesPerSecond, Now);
 }
 
 void Dispatcher::assignBackends() {
@@ -149,8 +150,9 @@
     decide(Value, Now, Out);
     return;
   }
-  for (const BackendIndex Index :
-       drawRound(m_Backends, Target, Looking.m_Asked, Now, m_Context.m_Random)) {
+  auto Drawn = drawRound(m_Backends, Target, Looking.m_Asked, Now, m_Context.m_Random);
+  Drawn.resize(std::min(Drawn.size(), m_Probes.roundSize(Drawn.size(), Now)));
+  for (const BackendIndex Index : Drawn) {
     Looking.m_Asked.push_back(Index);
     ask(Index, Now, Out);
   }
@@ -166,6 +168,7 @@
   }
   Backend.m_ProbeSince = Now;
   ++Backend.m_Probes;
+  m_Probes.take();
   Out.push_back(Probe{Backend.m_Settings.m_Id});
   return true;
 }
@@ -198,7 +201,8 @@
 void Dispatcher::decide(Request &Value, TimePoint Now, Actions &Out) {
   const SearchTarget Target = targetOf(Value);
   const auto Best = cheapest(m_Backends, Target, Value.m_Search->m_Asked, Now);
-  const bool MayAskMore = m_TellsLoad != false && Value.m_Search->m_Rounds < MostRounds;
+  const bool MayAskMore = m_TellsLoad != false && Value.m_Search->m_Rounds < MostRounds &&
+                          m_Probes.allowsMoreRounds(Now);
   const bool IsGood = Best && Best->m_IsGood;
   if (!IsGood && MayAskMore && Value.m_Search->m_Asked.size() < m_Backends.size()) {
     askRound(Value, Now, Out);
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -51,6 +51,9 @@
     putInForce();
   }
   greet();
+  if (hasFleetChanged()) {
+    putInForce();
+  }
   if (const auto Which = m_Follower.nextRead(Now)) {
     const auto From = m_Follower.position(*Which);
     m_Store.m_Read(*Which, From,
@@ -270,6 +273,15 @@
   }
 }
 
+/// Whether shares of budgets were made for a fleet of clearly another size.
+bool FleetClient::hasFleetChanged() const {
+  const std::size_t Present = m_Peers.fleetSize();
+  constexpr std::size_t Tolerance = 5;
+  const std::size_t Larger = std::max(Present, m_SettingsFleetSize);
+  const std::size_t Smaller = std::min(Present, m_SettingsFleetSize);
+  return (Larger - Smaller) * Tolerance > Larger;
+}
+
 void FleetClient::greet() {
   const auto Due = m_Peers.dueHellos(SystemClock().now());
   for (const std::string &Ip : Due) {
