--- a/include/vanillahill/kernel/probed/backend_view.hpp
+++ b/include/vanillahill/kernel/probed/backend_view.hpp
@@ -77,6 +77,24 @@
     m_LoadAt = Now;
   }
 
+  /// \brief A request of this VM was sent there: until the next report it counts as running, or as
+  /// waiting when every slot is taken.
+  void countSent() {
+    ++m_InFlight;
+    if (m_Load) {
+      ++(isFull() ? m_Load->m_Waiting : m_Load->m_Running);
+    }
+  }
+
+  /// \brief A request of this VM ended there and the reply told no load.
+  void countEnded() {
+    if (m_Load && m_Load->m_Waiting > 0) {
+      --m_Load->m_Waiting;
+    } else if (m_Load && m_Load->m_Running > 0) {
+      --m_Load->m_Running;
+    }
+  }
+
   /// \brief Adds evidence of failure, at most up to a bound, so that a server that has recovered is
   /// tried again soon.
   void addFailure(double Weight, TimePoint Now) {
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -283,11 +283,7 @@
                      .m_Started = Now,
                      .m_ExpectedSlowdown = Backend.slowdown(Now),
                      .m_IsPaid = Value.m_Purpose != SearchFor::FirstSend};
-  ++Backend.m_InFlight;
-  if (Backend.m_Load) {
-    // The next request of this VM must not see the same idle slot.
-    ++(Backend.isFull() ? Backend.m_Load->m_Waiting : Backend.m_Load->m_Running);
-  }
+  Backend.countSent();
   m_Attempts.emplace(Sent.m_Id, Sent);
   Value.m_Running.push_back(Sent.m_Id);
   Value.m_Tried.push_back(Sent.m_Server);
@@ -391,6 +387,8 @@
   --Backend->m_InFlight;
   if (Ended.m_Load) {
     Backend->takeLoad(*Ended.m_Load, Now);
+  } else {
+    Backend->countEnded();
   }
   if (Sent.m_Cancelled) {
     noteTime(*Backend, Sent, Now);
--- /dev/null
+++ b/tests/unit-platform-decode.cpp
@@ -0,0 +1,175 @@
+#include "decode.hpp"
+#include "dialect.hpp"
+#include "store_client.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace vanillahill::wire {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::string_view SettingsText = R"({
+  "self": {"node": "n1", "ip": "10.0.0.1", "zone": "dc1", "limits": {"cores": 3}, "new_field": 1},
+  "network": {"listen": {"front": "10.0.0.1:1", "ready": "10.0.0.1:2"},
+              "internal_port_range": [7000, 7009], "seeds": ["10.0.0.9:5"]},
+  "platform": {"platform": {"address": "10.9.9.9:3"}},
+  "terms": {"bounds": {"grace": "4s", "drain": "1700ms", "config": "1.5s", "budget_ratio": 0.4,
+                       "budget_window": "7s", "probes_per_s": 33}}})";
+
+constexpr std::string_view ConfigurationText = R"({"version": "r41", "resources": [
+  {"resource_kind": "routes", "metadata": {"name": "a"}, "spec": {"host": "X.example",
+   "path_prefix": "/a/", "kind": "unsafe", "timeout": "750ms", "target_latency": "0.2s",
+   "priority": 1, "service": "s1", "max_attempts": 3}},
+  {"resource_kind": "routes", "metadata": {"name": "b"}, "spec": {"host": "x.example",
+   "path_prefix": "/a/b/", "kind": "safe",
+   "traffic_split": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}]}},
+  {"resource_kind": "services", "metadata": {"name": "s1"},
+   "spec": {"health_path": "/health", "max_connections": 70}},
+  {"resource_kind": "services", "metadata": {"name": "s2"}, "spec": {"health_path": "/h"}},
+  {"resource_kind": "limits", "metadata": {}, "spec": {"max_header_bytes": 900,
+   "max_body_bytes": 1000, "header_timeout": "2s", "idle_timeout": "9000ms"}},
+  {"resource_kind": "later", "metadata": {}, "spec": {}}]})";
+
+constexpr std::string_view ServerText = R"({"service": "s1", "address": "10.1.1.1:80",
+  "zone": "dc1", "version": "v1", "capacity": 5, "state": "ready", "warmup_left": "2s",
+  "sequence": 4, "born": 1764800000000})";
+
+std::string replaced(std::string_view Text, std::string_view From, std::string_view To) {
+  std::string Changed(Text);
+  const auto At = Changed.find(From);
+  EXPECT_NE(At, std::string::npos) << From;
+  return Changed.replace(At, From.size(), To);
+}
+
+TEST(PlatformDecode, ReadsTheSettingsOfAProcess) {
+  const auto Read = decodeProcessSettings(SettingsText).value();
+  EXPECT_EQ(Read.m_Name, "n1");
+  EXPECT_EQ(Read.m_Cores, 3U);
+  EXPECT_EQ(Read.m_PeerPort, 7000);
+  EXPECT_EQ(Read.m_SeedIps, std::vector<std::string>{"10.0.0.9"});
+  EXPECT_EQ(Read.m_StoreAddress, "10.9.9.9:3");
+  EXPECT_EQ(Read.m_DrainBound, milliseconds(1700));
+  EXPECT_EQ(Read.m_ConfigBound, milliseconds(1500));
+  EXPECT_EQ(Read.m_RetryWindow, seconds(7));
+  EXPECT_EQ(Read.m_ProbesPerSecond, 33.0);
+}
+
+TEST(PlatformDecode, AFaultInTheSettingsNamesItsField) {
+  const auto Missing = decodeProcessSettings(replaced(SettingsText, "\"grace\": \"4s\",", ""));
+  EXPECT_EQ(Missing.error().m_Peer, "terms.bounds.grace");
+  const auto Wrong = decodeProcessSettings(replaced(SettingsText, "\"4s\"", "4"));
+  EXPECT_EQ(Wrong.error().m_Peer, "terms.bounds.grace");
+  EXPECT_FALSE(decodeProcessSettings("{"));
+  EXPECT_FALSE(decodeProcessSettings("[]"));
+  EXPECT_FALSE(decodeProcessSettings(replaced(SettingsText, "[7000, 7009]", "[70000]")));
+  EXPECT_FALSE(decodeProcessSettings(replaced(SettingsText, "[\"10.0.0.9:5\"]", "[7]")));
+}
+
+TEST(PlatformDecode, ReadsAConfiguration) {
+  const auto Read = decodeConfiguration(ConfigurationText).value();
+  EXPECT_EQ(Read.m_Version, 41U);
+  ASSERT_EQ(Read.m_Routes.size(), 2U);
+  EXPECT_EQ(Read.m_Routes[0].m_Host, "x.example");
+  EXPECT_FALSE(Read.m_Routes[0].m_Idempotent);
+  EXPECT_EQ(Read.m_Routes[0].m_Timeout, milliseconds(750));
+  EXPECT_EQ(Read.m_Routes[0].m_TargetLatency, milliseconds(200));
+  EXPECT_EQ(Read.m_Routes[0].m_MaxAttempts, 3U);
+  EXPECT_TRUE(Read.m_Routes[1].m_Idempotent);
+  ASSERT_EQ(Read.m_Routes[1].m_Shares.size(), 2U);
+  EXPECT_EQ(Read.m_Routes[1].m_Shares[1].m_Weight, 10.0);
+  ASSERT_EQ(Read.m_Services.size(), 2U);
+  EXPECT_EQ(Read.m_Services[0].m_MaxConnections, 70U);
+  EXPECT_EQ(Read.m_Limits.m_HeaderBytes, 900U);
+  EXPECT_EQ(Read.m_Limits.m_IdleTimeout, seconds(9));
+}
+
+TEST(PlatformDecode, RefusesAConfigurationThatCannotBeFollowed) {
+  const auto refused = [](std::string_view From, std::string_view To) {
+    return !decodeConfiguration(replaced(ConfigurationText, From, To)).has_value();
+  };
+  EXPECT_TRUE(refused("\"r41\"", "\"41\""));
+  EXPECT_TRUE(refused("\"r41\"", "\"r-1\""));
+  EXPECT_TRUE(refused("\"/a/\"", "\"/a\""));
+  EXPECT_TRUE(refused("\"service\": \"s1\", \"max", "\"service\": \"s9\", \"max"));
+  EXPECT_TRUE(refused("\"750ms\"", "\"-750ms\""));
+  EXPECT_TRUE(refused("\"weight\": 90", "\"weight\": -90"));
+  EXPECT_TRUE(refused("\"priority\": 1", "\"priority\": 1e300"));
+  EXPECT_TRUE(refused("\"max_attempts\": 3", "\"max_attempts\": 0"));
+  EXPECT_TRUE(refused("\"resources\": [", "\"resources\": 7, \"x\": ["));
+}
+
+TEST(PlatformDecode, ReadsAServersRecord) {
+  const auto Read = decodeServer("i-1", ServerText).value();
+  EXPECT_EQ(Read.m_Id, "i-1");
+  EXPECT_EQ(Read.m_Slots, 5U);
+  EXPECT_EQ(Read.m_ColdFor, seconds(2));
+  EXPECT_EQ(Read.m_BornMillis, 1764800000000);
+  EXPECT_FALSE(Read.m_Draining);
+  EXPECT_TRUE(decodeServer("i-1", replaced(ServerText, "\"ready\"", "\"draining\"")).value().m_Draining);
+}
+
+TEST(PlatformDecode, SkipsARecordThatNamesNoUsableServer) {
+  const auto skipped = [](std::string_view From, std::string_view To) {
+    return !decodeServer("i-1", replaced(ServerText, From, To)).has_value();
+  };
+  EXPECT_TRUE(skipped("\"ready\"", "\"resting\""));
+  EXPECT_TRUE(skipped("\"capacity\": 5", "\"capacity\": \"5\""));
+  EXPECT_TRUE(skipped("\"capacity\": 5", "\"capacity\": 0"));
+  EXPECT_TRUE(skipped("\"sequence\": 4", "\"sequence\": -4"));
+  EXPECT_TRUE(skipped("\"sequence\": 4", "\"sequence\": 4.5"));
+  EXPECT_TRUE(skipped("1764800000000", "\"today\""));
+  EXPECT_TRUE(skipped("\"address\": \"10.1.1.1:80\",", ""));
+  EXPECT_TRUE(skipped("\"warmup_left\": \"2s\"", "\"warmup_left\": \"1e99s\""));
+  EXPECT_FALSE(decodeServer("i-1", "\xff\x01"));
+  EXPECT_FALSE(decodeServer("i-1", std::string(100000, '[')));
+}
+
+TEST(PlatformDecode, ReadsDurations) {
+  EXPECT_EQ(decodeDuration("1500ms"), milliseconds(1500));
+  EXPECT_EQ(decodeDuration("2.5s"), milliseconds(2500));
+  for (const char *Bad : {"", "s", "5", "5m", "-1s", "1.2.3s", "99999999999s", "1e5s", "ms5"}) {
+    EXPECT_FALSE(decodeDuration(Bad)) << Bad;
+  }
+}
+
+TEST(PlatformDecode, ReadsALoadHeader) {
+  const auto Load = decodeLoad("3,1,8,250").value();
+  EXPECT_EQ(Load.m_Running, 3U);
+  EXPECT_EQ(Load.m_Waiting, 1U);
+  EXPECT_EQ(Load.m_Slots, 8U);
+  EXPECT_DOUBLE_EQ(Load.m_Slowdown, 2.5);
+  EXPECT_DOUBLE_EQ(decodeLoad("3,0,8").value().m_Slowdown, 1.0);
+  for (const char *Bad : {"", "3", "3,1", "a,b,c", "3,1,0", "99999999999,1,1", "-1,0,8"}) {
+    EXPECT_FALSE(decodeLoad(Bad)) << Bad;
+  }
+}
+
+RC_GTEST_PROP(PlatformDecode, AnyBytesAreDecodedOrRefused, (std::vector<char> Bytes)) {
+  const std::string_view Text(Bytes.data(), Bytes.size());
+  std::string After;
+  decodeProcessSettings(Text);
+  decodeConfiguration(Text);
+  decodeServer("id", Text);
+  decodeRead(Text);
+  decodeNewest(Text, After);
+  decodeDuration(Text);
+  decodeLoad(Text);
+}
+
+RC_GTEST_PROP(PlatformDecode, AChangedDocumentIsDecodedOrRefused,
+              (std::uint16_t At, char Byte, std::uint16_t Cut)) {
+  for (const std::string_view Whole : {SettingsText, ConfigurationText, ServerText}) {
+    std::string Changed(Whole);
+    Changed[At % Changed.size()] = Byte;
+    Changed.resize(Changed.size() - Cut % 3);
+    decodeProcessSettings(Changed);
+    decodeConfiguration(Changed);
+    decodeServer("id", Changed);
+  }
+}
+
+} // namespace
+} // namespace vanillahill::wire
--- /dev/null
+++ b/tests/unit-platform-front.cpp
@@ -0,0 +1,421 @@
+#include "front.hpp"
+#include "store_fake.hpp"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <deque>
+#include <future>
+
+namespace vanillahill::wire::fakes {
+namespace {
+
+using net::fakes::Backend;
+using net::fakes::BackendRequest;
+using net::fakes::CallerReply;
+using net::fakes::Client;
+
+/// A backend server that speaks the platform's headers.
+class PlatformServer {
+public:
+  using Script = std::function<std::string(const BackendRequest &)>;
+
+  explicit PlatformServer(std::string Id, Script Serve = {})
+      : m_Id(std::move(Id)), m_Serve(std::move(Serve)),
+        m_Server([this](const BackendRequest &Request) { return answer(Request); }) {}
+
+  std::string record(std::string_view State = "ready", int Sequence = 1,
+                     std::string_view Service = "svc") const {
+    return "{\"service\":\"" + std::string(Service) + "\",\"address\":\"127.0.0.1:" +
+           std::to_string(m_Server.port()) +
+           "\",\"zone\":\"dc1\",\"version\":\"v1\",\"capacity\":3,\"state\":\"" +
+           std::string(State) + "\",\"warmup_left\":\"0ms\",\"sequence\":" +
+           std::to_string(Sequence) + ",\"born\":1000}";
+  }
+
+  const std::string &id() const { return m_Id; }
+  int served() const { return m_Served; }
+
+  /// A signed reply with the request's id.
+  static std::string reply(const BackendRequest &Request, std::string_view Status,
+                           std::string_view Body, std::string_view More = {}) {
+    return "HTTP/1.1 " + std::string(Status) + "\r\nRequest-Id: " +
+           std::string(Request["Request-Id"]) + "\r\nResponse-Signature: sig\r\n" +
+           std::string(More) + "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+           std::string(Body);
+  }
+
+private:
+  std::string answer(const BackendRequest &Request) {
+    if (Request.target() == "/health") {
+      return "HTTP/1.1 200 OK\r\nInstance-Id: " + m_Id +
+             "\r\nBackend-Load: 0,0,3,100\r\nContent-Length: 0\r\n\r\n";
+    }
+    if (Request["Target-Instance"] != m_Id) {
+      return "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    }
+    ++m_Served;
+    return m_Serve ? m_Serve(Request) : reply(Request, "200 OK", "whole", "X-Own: kept\r\n");
+  }
+
+  std::string m_Id;
+  Script m_Serve;
+  std::atomic<int> m_Served = 0;
+  Backend m_Server;
+};
+
+std::string configuration(int Version, std::string_view MoreRoutes = {}) {
+  return "{\"version\":\"r" + std::to_string(Version) +
+         "\",\"resources\":["
+         "{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"look\"},\"spec\":{\"host\":"
+         "\"a.example\",\"path_prefix\":\"/look/\",\"kind\":\"safe\",\"timeout\":\"900ms\","
+         "\"target_latency\":\"200ms\",\"priority\":2,\"service\":\"svc\",\"max_attempts\":2}},"
+         "{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"post\"},\"spec\":{\"host\":"
+         "\"a.example\",\"path_prefix\":\"/post/\",\"kind\":\"unsafe\",\"timeout\":\"900ms\","
+         "\"target_latency\":\"200ms\",\"priority\":1,\"service\":\"svc\",\"max_attempts\":2}}," +
+         std::string(MoreRoutes) +
+         "{\"resource_kind\":\"services\",\"metadata\":{\"name\":\"svc\"},\"spec\":{"
+         "\"health_path\":\"/health\",\"max_connections\":50}},"
+         "{\"resource_kind\":\"services\",\"metadata\":{\"name\":\"other\"},\"spec\":{"
+         "\"health_path\":\"/health\",\"max_connections\":50}},"
+         "{\"resource_kind\":\"limits\",\"metadata\":{},\"spec\":{\"max_header_bytes\":4000,"
+         "\"max_body_bytes\":9000,\"header_timeout\":\"2s\",\"idle_timeout\":\"5s\"}}]}";
+}
+
+/// A port that is free at this moment.
+std::uint16_t freePort() {
+  net::fakes::asio::io_context Io;
+  net::fakes::Tcp::acceptor Probe(Io, net::fakes::loopback(0));
+  return Probe.local_endpoint().port();
+}
+
+/// The entry process of the platform inside the test.
+class RunningFront {
+public:
+  explicit RunningFront(const FakeStore &Store)
+      : m_Caller(freePort()), m_Ready(freePort()), m_Metrics(freePort()) {
+    ProcessSettings Process{.m_Name = "n1",
+                            .m_Ip = "127.0.0.1",
+                            .m_DataCenter = "dc1",
+                            .m_CallerAddress = "127.0.0.1:" + std::to_string(m_Caller),
+                            .m_ReadyAddress = "127.0.0.1:" + std::to_string(m_Ready),
+                            .m_PeerPort = freePort(),
+                            .m_StoreAddress = Store.address(),
+                            .m_StopGrace = std::chrono::milliseconds(400),
+                            .m_DrainBound = std::chrono::milliseconds(200),
+                            .m_ConfigBound = std::chrono::milliseconds(200),
+                            .m_RetryRatio = 0.5,
+                            .m_RetryWindow = std::chrono::seconds(5),
+                            .m_ProbesPerSecond = 500};
+    m_Front = Front::open({.m_Process = std::move(Process), .m_MetricsPort = m_Metrics}).value();
+    m_Thread = std::thread([this] { m_Front->run(); });
+  }
+
+  ~RunningFront() {
+    if (m_Thread.joinable()) {
+      m_Front->requestStop();
+      m_Thread.join();
+    }
+  }
+  RunningFront(const RunningFront &) = delete;
+  RunningFront &operator=(const RunningFront &) = delete;
+
+  unsigned readiness() {
+    Client Balancer(m_Ready);
+    return Balancer.ask("GET /-/readiness HTTP/1.1\r\nHost: a\r\n\r\n").result_int();
+  }
+
+  /// Waits until the process is ready; a test that waits in vain is ended by its time limit.
+  void awaitReady() { awaitReadiness(200); }
+  void awaitReadiness(unsigned Status) {
+    while (readiness() != Status) {
+      std::this_thread::yield();
+    }
+  }
+
+  CallerReply ask(std::string_view Path, std::string_view Method = "GET") {
+    Client Caller(m_Caller);
+    return Caller.ask(request(Path, Method));
+  }
+
+  /// Asks until the answer has a status.
+  void awaitAnswer(std::string_view Path, unsigned Status) {
+    while (ask(Path).result_int() != Status) {
+      std::this_thread::yield();
+    }
+  }
+
+  static std::string request(std::string_view Path, std::string_view Method = "GET",
+                             std::string_view Id = "id-1") {
+    return std::string(Method) + " " + std::string(Path) +
+           " HTTP/1.1\r\nHost: A.example\r\nRequest-Id: " + std::string(Id) +
+           "\r\nDeadline-Ms: 700\r\nTarget-Instance: forged\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  std::string metrics() {
+    Client Operator(m_Metrics);
+    return Operator.ask("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n").body();
+  }
+
+  std::uint16_t callerPort() const { return m_Caller; }
+  Front &front() { return *m_Front; }
+  void awaitStopped() { m_Thread.join(); }
+
+private:
+  std::uint16_t m_Caller;
+  std::uint16_t m_Ready;
+  std::uint16_t m_Metrics;
+  std::unique_ptr<Front> m_Front;
+  std::thread m_Thread;
+};
+
+class FrontTest : public testing::Test {
+protected:
+  void add(const PlatformServer &Server) { m_Store.put("keyed.servers", Server.id(), Server.record()); }
+
+  FakeStore m_Store;
+};
+
+TEST_F(FrontTest, PassesARequestOnAndItsAnswerBackUnchanged) {
+  std::promise<BackendRequest> Seen;
+  PlatformServer Server("i-1", [&Seen](const BackendRequest &Request) {
+    Seen.set_value(Request);
+    return PlatformServer::reply(Request, "200 OK", "whole", "X-Own: kept\r\n");
+  });
+  m_Store.put("keyed.op", "config", configuration(3));
+  add(Server);
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  const auto Answer = Vm.ask("/look/9?x=1");
+  EXPECT_EQ(Answer.result_int(), 200U);
+  EXPECT_EQ(Answer.body(), "whole");
+  EXPECT_EQ(Answer["Response-Signature"], "sig");
+  EXPECT_EQ(Answer["X-Own"], "kept");
+  EXPECT_EQ(Answer["Request-Id"], "id-1");
+  const auto Request = Seen.get_future().get();
+  EXPECT_EQ(Request.target(), "/look/9?x=1");
+  EXPECT_EQ(Request["Host"], "A.example");
+  EXPECT_EQ(Request["Target-Instance"], "i-1");
+  EXPECT_LE(std::stoi(std::string(Request["Deadline-Ms"])), 700);
+}
+
+TEST_F(FrontTest, IsReadyOnlyWithAConfigurationAndAServer) {
+  PlatformServer Server("i-1");
+  RunningFront Vm(m_Store);
+  EXPECT_EQ(Vm.readiness(), 503U);
+  EXPECT_EQ(Vm.ask("/look/1").result_int(), 503U);
+  m_Store.put("keyed.op", "other", "{}");
+  m_Store.put("keyed.op", "config", configuration(3));
+  add(Server);
+  Vm.awaitReady();
+  EXPECT_EQ(Vm.ask("/look/1").result_int(), 200U);
+  EXPECT_EQ(Vm.ask("/none/1").result_int(), 404U);
+}
+
+TEST_F(FrontTest, OneBrokenRecordDoesNotHideTheOthers) {
+  PlatformServer Server("i-1");
+  m_Store.put("keyed.op", "config", configuration(3));
+  m_Store.put("keyed.servers", "a-broken", "{\"service\":7}");
+  m_Store.put("keyed.servers", "b-broken", "\xff\xfe");
+  add(Server);
+  m_Store.put("keyed.servers", "z-broken", "{}");
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  m_Store.putGarbage("keyed.servers", "\xff");
+  m_Store.put("keyed.servers", "i-1", "not json");
+  m_Store.put("keyed.op", "config", "{\"version\":\"r9\"}");
+  m_Store.put("keyed.op", "config", configuration(10));
+  Vm.awaitAnswer("/look/1", 200);
+  EXPECT_EQ(Vm.ask("/look/1").result_int(), 200U);
+}
+
+TEST_F(FrontTest, FollowsTheConfigurationAndNeverGoesBack) {
+  PlatformServer Server("i-1");
+  m_Store.put("keyed.op", "config", configuration(5));
+  add(Server);
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  EXPECT_EQ(Vm.ask("/new/1").result_int(), 404U);
+  m_Store.put("keyed.op", "config",
+              configuration(8, "{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"new\"},"
+                               "\"spec\":{\"host\":\"a.example\",\"path_prefix\":\"/new/\","
+                               "\"kind\":\"safe\",\"service\":\"svc\"}},"));
+  Vm.awaitAnswer("/new/1", 200);
+  m_Store.put("keyed.op", "config", configuration(6));
+  m_Store.compact("keyed.op");
+  const int Before = m_Store.calls();
+  while (m_Store.calls() < Before + 6) {
+    EXPECT_EQ(Vm.ask("/new/1").result_int(), 200U);
+  }
+}
+
+TEST_F(FrontTest, ADrainingServerGetsNothingOnceItsRecordWasRead) {
+  PlatformServer Leaving("i-1");
+  PlatformServer Staying("i-2");
+  m_Store.put("keyed.op", "config", configuration(3));
+  add(Leaving);
+  add(Staying);
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  m_Store.put("keyed.servers", "i-1", Leaving.record("draining", 2));
+  const int Before = m_Store.calls();
+  while (m_Store.calls() < Before + 4) {
+    EXPECT_EQ(Vm.ask("/look/1").result_int(), 200U);
+  }
+  const int Served = Leaving.served();
+  for (int Round = 0; Round < 20; ++Round) {
+    EXPECT_EQ(Vm.ask("/look/1").result_int(), 200U);
+  }
+  EXPECT_EQ(Leaving.served(), Served);
+}
+
+TEST_F(FrontTest, ServesOnWithoutTheStore) {
+  PlatformServer Server("i-1");
+  m_Store.put("keyed.op", "config", configuration(3));
+  add(Server);
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  for (const StoreFault Fault : {StoreFault::Refuses, StoreFault::LosesAnswers}) {
+    m_Store.setFault(Fault);
+    const int Before = m_Store.calls();
+    while (m_Store.calls() < Before + 2) {
+      EXPECT_EQ(Vm.ask("/look/1").result_int(), 200U);
+    }
+    EXPECT_EQ(Vm.readiness(), 200U);
+  }
+  m_Store.setFault(StoreFault::None);
+  m_Store.put("keyed.op", "config", configuration(4, "{\"resource_kind\":\"routes\",\"metadata\":"
+                                                     "{\"name\":\"new\"},\"spec\":{\"host\":"
+                                                     "\"a.example\",\"path_prefix\":\"/new/\","
+                                                     "\"kind\":\"safe\",\"service\":\"svc\"}},"));
+  Vm.awaitAnswer("/new/1", 200);
+}
+
+TEST_F(FrontTest, ARequestThatMayHaveRunIsNeverCalledNotRun) {
+  const std::vector<std::pair<std::string, unsigned>> Replies = {
+      {"503 Service Unavailable", 502}, {"429 Too Many Requests", 502}, {"500 Internal Server Error", 500},
+      {"404 Not Found", 404}};
+  for (const auto &[Status, Expected] : Replies) {
+    FakeStore Store;
+    PlatformServer Server("i-1", [Status = Status](const BackendRequest &Request) {
+      return PlatformServer::reply(Request, Status, "x");
+    });
+    Store.put("keyed.op", "config", configuration(3));
+    Store.put("keyed.servers", "i-1", Server.record());
+    RunningFront Vm(Store);
+    Vm.awaitReady();
+    const auto Answer = Vm.ask("/post/1", "POST");
+    EXPECT_EQ(Answer.result_int(), Expected) << Status;
+    EXPECT_EQ(Server.served(), 1);
+    EXPECT_EQ(Answer.count("Response-Signature"), Expected == 502 ? 0U : 1U);
+  }
+}
+
+TEST_F(FrontTest, WhatDidNotRunIsRefusedWithATimeToComeBack) {
+  PlatformServer Server("i-1", [](const BackendRequest &) {
+    return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  });
+  m_Store.put("keyed.op", "config", configuration(3));
+  add(Server);
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  const auto Answer = Vm.ask("/post/1", "POST");
+  EXPECT_EQ(Answer.result_int(), 503U);
+  EXPECT_GT(std::stod(std::string(Answer["Retry-After"])), 0.0);
+}
+
+struct SpoiltReply {
+  const char *m_Name;
+  std::function<std::string(const BackendRequest &)> m_Script;
+  unsigned m_Status;
+};
+
+const SpoiltReply SpoiltReplies[] = {
+    {"unsigned", [](const BackendRequest &Request) {
+       return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
+              "\r\nContent-Length: 2\r\n\r\nok"; }, 502},
+    {"encoded", [](const BackendRequest &Request) {
+       return PlatformServer::reply(Request, "200 OK", "zip", "Content-Encoding: gzip\r\n"); }, 502},
+    {"cut", [](const BackendRequest &Request) {
+       return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
+              "\r\nResponse-Signature: s\r\nConnection: close\r\nContent-Length: 50\r\n\r\nshort"; }, 504},
+    {"other request", [](const BackendRequest &) {
+       return std::string("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s\r\n"
+                          "Content-Length: 2\r\n\r\nno"); }, 504},
+    {"late answer to another request first", [](const BackendRequest &Request) {
+       return "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s\r\nContent-Length: 2"
+              "\r\n\r\nno" + PlatformServer::reply(Request, "200 OK", "own"); }, 200},
+    {"further bytes", [](const BackendRequest &Request) {
+       return PlatformServer::reply(Request, "200 OK", "own") + "HTTP/1.1 200 OK\r\n"; }, 200},
+    {"chunked", [](const BackendRequest &Request) {
+       return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
+              "\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\now\r\n1\r\nn\r\n0\r\n\r\n"; }, 200},
+    {"no reply", [](const BackendRequest &) { return std::string(); }, 502}};
+
+TEST_F(FrontTest, OnlyWholeOwnSignedRepliesAreSuccesses) {
+  for (const SpoiltReply &Spoilt : SpoiltReplies) {
+    FakeStore Store;
+    PlatformServer Server("i-1", Spoilt.m_Script);
+    Store.put("keyed.op", "config", configuration(3));
+    Store.put("keyed.servers", "i-1", Server.record());
+    RunningFront Vm(Store);
+    Vm.awaitReady();
+    const auto Answer = Vm.ask("/post/1", "POST");
+    if (Spoilt.m_Status == 200) {
+      EXPECT_EQ(Answer.result_int(), 200U) << Spoilt.m_Name;
+      EXPECT_EQ(Answer.body(), "own") << Spoilt.m_Name;
+    } else {
+      EXPECT_TRUE(Answer.result_int() == 502 || Answer.result_int() == 504) << Spoilt.m_Name;
+      EXPECT_EQ(Answer.count("Response-Signature"), 0U) << Spoilt.m_Name;
+    }
+    EXPECT_EQ(Server.served(), 1) << Spoilt.m_Name;
+  }
+}
+
+TEST_F(FrontTest, AnAddressThatWentToAnotherServerRunsNothing) {
+  PlatformServer Now("i-new");
+  m_Store.put("keyed.op", "config", configuration(3));
+  m_Store.put("keyed.servers", "i-old", Now.record());
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  EXPECT_EQ(Vm.ask("/post/1", "POST").result_int(), 503U);
+  EXPECT_EQ(Now.served(), 0);
+}
+
+TEST_F(FrontTest, AStopAnswersWhatIsInFlightAndTakesItselfOutOfRotation) {
+  std::promise<void> Started;
+  std::promise<void> MayEnd;
+  auto Waits = MayEnd.get_future().share();
+  PlatformServer Server("i-1", [&Started, Waits](const BackendRequest &Request) {
+    Started.set_value();
+    Waits.wait();
+    return PlatformServer::reply(Request, "200 OK", "whole");
+  });
+  m_Store.put("keyed.op", "config", configuration(3));
+  add(Server);
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  Client Caller(Vm.callerPort());
+  Caller.send(RunningFront::request("/post/1", "POST"));
+  Started.get_future().wait();
+  Vm.front().requestStop();
+  Vm.awaitReadiness(503);
+  MayEnd.set_value();
+  const auto Answer = Caller.receive();
+  EXPECT_EQ(Answer.result_int(), 200U);
+  EXPECT_FALSE(Answer.keep_alive());
+  Vm.awaitStopped();
+}
+
+TEST_F(FrontTest, ShowsItsMetrics) {
+  PlatformServer Server("i-1");
+  m_Store.put("keyed.op", "config", configuration(3));
+  add(Server);
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  Vm.ask("/look/1");
+  EXPECT_NE(Vm.metrics().find("vanillahill_"), std::string::npos);
+}
+
+} // namespace
+} // namespace vanillahill::wire::fakes
