--- a/include/vanillahill/fleet/peers.hpp
+++ b/include/vanillahill/fleet/peers.hpp
@@ -18,7 +18,8 @@
   std::vector<std::string> m_SeedIps;
 };
 
-/// Learns of VMs from seeds and from each other, and forgets those that are silent. Not thread safe.
+/// Learns of VMs from seeds and from each other, and forgets those that are silent. Not thread
+/// safe.
 class Peers {
 public:
   /// A VM tells each other one at least this often that it is alive; in a large fleet less often.
--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -5,6 +5,7 @@
 
 #include "vanillahill/core/ids.hpp"
 #include "vanillahill/core/time.hpp"
+#include "vanillahill/kernel/decision.hpp"
 #include "vanillahill/peer/message.hpp"
 #include "vanillahill/settings/settings.hpp"
 
@@ -30,14 +31,8 @@
   Unknown,
 };
 
-/// What a backend server says of its load in a reply.
-struct LoadReport {
-  std::uint32_t m_Running = 0;
-  std::uint32_t m_Waiting = 0;
-  std::uint32_t m_Slots = 0;
-  /// How long work takes there at present, as a multiple of the usual time.
-  double m_Slowdown = 1.0;
-};
+/// \brief The name of a result, as logs show it.
+std::string_view toString(AttemptResult Value);
 
 /// Why a request was refused, or how it ended. Each has its counter.
 enum class Reason : std::uint8_t {
@@ -189,9 +184,9 @@
 /// Time passed; sent when an armed timer fires.
 struct TimerFired {};
 
-using Event = std::variant<RequestArrived, CallerGone, AttemptEnded, ProbeEnded, PeerReceived,
-                           VmListRead, LogRead, SettingsRead,
-                           ServerFailureHeard, StopRequested, TimerFired>;
+using Event =
+    std::variant<RequestArrived, CallerGone, AttemptEnded, ProbeEnded, PeerReceived, VmListRead,
+                 LogRead, SettingsRead, ServerFailureHeard, StopRequested, TimerFired>;
 
 /// Send the request to a backend server.
 struct Dispatch {
@@ -251,7 +246,7 @@
 struct Stopped {};
 
 using Action = std::variant<Dispatch, CancelAttempt, Answer, SendPeer, ConnectPeers, AppendLog,
-                            Probe, SettingsChanged, TellServerFailure, Stopped>;
+                            Probe, SettingsChanged, TellServerFailure, Decision, Stopped>;
 using Actions = std::vector<Action>;
 
 } // namespace vanillahill::kernel
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -74,11 +74,17 @@
 
   void fireTimers(TimePoint Now, Actions &Out);
   void missDeadline(Request &Value, TimePoint Now, Actions &Out);
-  void complete(Request &Value, const ReplyPtr &Whole, Actions &Out);
-  void refuse(Request &Value, Reason Why, Duration RetryAfter, Actions &Out);
+  void complete(Request &Value, const ReplyPtr &Whole, TimePoint Now, Actions &Out);
+  void refuse(Request &Value, Reason Why, Duration RetryAfter, TimePoint Now, Actions &Out);
   void finish(Request &Value, Actions &Out);
   void checkInvariants() const;
 
+  // For logs.
+  void explainEnd(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now, Actions &Out);
+  Decision about(DecisionType Type, const Request &Value, TimePoint Now) const;
+  static void describe(Decision &Made, const BackendView &Backend, TimePoint Now);
+  void addFailure(BackendView &Backend, double Weight, TimePoint Now, Actions &Out);
+
   DispatcherContext &m_Context;
   ServiceSettings m_Settings;
   std::vector<BackendView> m_Backends;
@@ -93,6 +99,8 @@
   ProbeBudget m_Probes;
   /// Round trip of a probe, seconds.
   Ewma m_ProbeSeconds{0.005, 0.05};
+  /// Servers asked by the search that ended last.
+  std::uint32_t m_LastAsked = 0;
   /// Servers of the service tell their load; unknown until one has answered.
   std::optional<bool> m_TellsLoad;
 };
--- a/include/vanillahill/kernel/probed/placement.hpp
+++ b/include/vanillahill/kernel/probed/placement.hpp
@@ -70,8 +70,7 @@
 /// \brief The cheapest of the servers that answered.
 /// \param Since reports from before then are not used
 /// \return nothing when none answered
-std::optional<Candidate> cheapest(std::span<const BackendView> Backends,
-                                  const SearchTarget &Target,
+std::optional<Candidate> cheapest(std::span<const BackendView> Backends, const SearchTarget &Target,
                                   std::span<const BackendIndex> Asked, TimePoint Now);
 
 /// \brief A server without any report: the better of two random ones by this VM's own attempts.
--- a/include/vanillahill/kernel/probed/request.hpp
+++ b/include/vanillahill/kernel/probed/request.hpp
@@ -65,7 +65,6 @@
 };
 
 /// Timers, the earliest on top.
-using RequestTimers =
-    std::priority_queue<RequestTimer, std::vector<RequestTimer>, std::greater<>>;
+using RequestTimers = std::priority_queue<RequestTimer, std::vector<RequestTimer>, std::greater<>>;
 
 } // namespace vanillahill::kernel::probed
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -35,7 +35,8 @@
   /// Reads a stream from a position, or the newest record of every key without one.
   std::function<void(fleet::Stream, std::optional<std::uint64_t>, StoreReadDone)> m_Read;
   Result<fleet::Configuration> (*m_DecodeConfiguration)(std::string_view Text) = nullptr;
-  Result<fleet::ServerEntry> (*m_DecodeServer)(std::string_view Id, std::string_view Text) = nullptr;
+  Result<fleet::ServerEntry> (*m_DecodeServer)(std::string_view Id,
+                                               std::string_view Text) = nullptr;
   /// Key of the configuration; other keys of its stream are ignored.
   std::string m_ConfigurationKey;
 };
--- a/include/vanillahill/observe/log.hpp
+++ b/include/vanillahill/observe/log.hpp
@@ -13,6 +13,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace vanillahill::observe {
 
@@ -36,8 +37,12 @@
 /// \param Level how grave it is
 /// \param Event what happened, lower case words joined by "_"
 /// \param Fields further values
+void log(LogLevel Level, std::string_view Event, std::span<const LogField> Fields);
 void log(LogLevel Level, std::string_view Event, std::initializer_list<LogField> Fields = {});
 
+/// \brief Writes out the lines that wait. \note Thread safe.
+void flushLog();
+
 /// \brief Writes a fault with its number, step and peer; repeats of one event and peer are limited.
 /// \note Thread safe.
 void logFault(std::string_view Event, const Error &Fault);
--- a/src/fleet/catalog.cpp
+++ b/src/fleet/catalog.cpp
@@ -65,11 +65,10 @@
   }
   m_Lapsed.erase(Entry.m_Id);
   const bool SameLife = Entry.m_BornMillis == Old.m_Entry.m_BornMillis;
-  const bool Changed = !SameLife || Entry.m_Draining != Old.m_Entry.m_Draining ||
-                       Entry.m_Address != Old.m_Entry.m_Address ||
-                       Entry.m_Service != Old.m_Entry.m_Service ||
-                       Entry.m_Slots != Old.m_Entry.m_Slots ||
-                       Entry.m_DataCenter != Old.m_Entry.m_DataCenter;
+  const bool Changed =
+      !SameLife || Entry.m_Draining != Old.m_Entry.m_Draining ||
+      Entry.m_Address != Old.m_Entry.m_Address || Entry.m_Service != Old.m_Entry.m_Service ||
+      Entry.m_Slots != Old.m_Entry.m_Slots || Entry.m_DataCenter != Old.m_Entry.m_DataCenter;
   Old = Known{.m_Entry = Entry, .m_ColdUntil = Now + Entry.m_ColdFor};
   return Changed;
 }
--- a/src/fleet/news.cpp
+++ b/src/fleet/news.cpp
@@ -77,8 +77,7 @@
 }
 
 Json body(const SnapshotPiece &Message) {
-  return Json::array(
-      {Message.m_Number, Message.m_Index, Message.m_Count, binary(Message.m_Bytes)});
+  return Json::array({Message.m_Number, Message.m_Index, Message.m_Count, binary(Message.m_Bytes)});
 }
 
 StoreNews readStoreNews(const Json &Fields) {
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -206,18 +206,17 @@
       Out.push_back(Answer{.m_Request = Input.m_Request, .m_Reason = Why});
       return;
     }
-    const Duration Allowed = Input.m_TimeLeft ? std::min(Kind->m_Deadline, *Input.m_TimeLeft)
-                                              : Kind->m_Deadline;
+    const Duration Allowed =
+        Input.m_TimeLeft ? std::min(Kind->m_Deadline, *Input.m_TimeLeft) : Kind->m_Deadline;
     const bool IsGuarded = !Kind->m_Idempotent && m_Settings->m_Idempotency.m_Enabled;
     const OpenRequest Open{.m_Service = Input.m_Service,
                            .m_Kind = Input.m_Kind,
                            .m_Deadline = Now + Allowed,
                            .m_Guarded = IsGuarded};
     m_Open.emplace(Input.m_Request, Open);
-    const auto Verdict = !IsGuarded
-                             ? idempotency::Verdict::Run
-                             : m_Keys.arrived(Input.m_Request, Input.m_Key, Input.m_KeyAge,
-                                              m_Members.view(Now), Now, Out);
+    const auto Verdict = !IsGuarded ? idempotency::Verdict::Run
+                                    : m_Keys.arrived(Input.m_Request, Input.m_Key, Input.m_KeyAge,
+                                                     m_Members.view(Now), Now, Out);
     if (Verdict == idempotency::Verdict::Run) {
       run(Input.m_Request, Now, Out);
     }
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -91,9 +91,10 @@
 }
 
 BackendView *Dispatcher::findBackend(ServerId Server) {
-  const auto Found = std::find_if(
-      m_Backends.begin(), m_Backends.end(),
-      [Server](const BackendView &Backend) { return Backend.m_Settings.m_Id == Server; });
+  const auto Found =
+      std::find_if(m_Backends.begin(), m_Backends.end(), [Server](const BackendView &Backend) {
+        return Backend.m_Settings.m_Id == Server;
+      });
   return Found == m_Backends.end() ? nullptr : &*Found;
 }
 
@@ -124,7 +125,8 @@
   ++m_Counters[*Index].m_Arrived;
   Request &Added =
       m_Requests
-          .emplace(Id, Request{.m_Id = Id, .m_Kind = *Index, .m_Arrived = Now, .m_Deadline = Deadline})
+          .emplace(Id,
+                   Request{.m_Id = Id, .m_Kind = *Index, .m_Arrived = Now, .m_Deadline = Deadline})
           .first->second;
   m_Timers.push({.m_At = Deadline, .m_Type = RequestTimerType::Deadline, .m_Request = Id});
   search(Added, SearchFor::FirstSend, Now, Out);
@@ -208,6 +210,7 @@
     askRound(Value, Now, Out);
     return;
   }
+  m_LastAsked = static_cast<std::uint32_t>(Value.m_Search->m_Asked.size());
   std::erase(m_Searching, Value.m_Id);
   Value.m_Search.reset();
   if (Value.m_Purpose == SearchFor::Hedge) {
@@ -225,7 +228,7 @@
     } else if (Value.m_MayHaveRun || Value.m_FailedReply) {
       giveUp(Value, Now, Out);
     } else {
-      refuse(Value, Reason::Overload, timeUntilRoom(Value, *Best, Now), Out);
+      refuse(Value, Reason::Overload, timeUntilRoom(Value, *Best, Now), Now, Out);
     }
     return;
   }
@@ -264,7 +267,7 @@
   const Kind &Wanted = m_Kinds[Value.m_Kind];
   if (!Wanted.m_Settings.m_Idempotent && m_Context.m_Gate != nullptr) {
     if (const Reason Why = m_Context.m_Gate->mayDispatch(Value.m_Id, Now); Why != Reason::None) {
-      refuse(Value, Why, Duration::zero(), Out);
+      refuse(Value, Why, Duration::zero(), Now, Out);
       return;
     }
   }
@@ -283,6 +286,14 @@
                      .m_Started = Now,
                      .m_ExpectedSlowdown = Backend.slowdown(Now),
                      .m_IsPaid = Value.m_Purpose != SearchFor::FirstSend};
+  Decision Made = about(Value.m_Purpose == SearchFor::FirstSend ? DecisionType::Placed
+                        : Value.m_Purpose == SearchFor::Retry   ? DecisionType::Retried
+                                                                : DecisionType::Hedged,
+                        Value, Now);
+  describe(Made, Backend, Now);
+  Made.m_Expected = seconds(Backend.expectedSeconds(workSeconds(m_Kinds[Value.m_Kind]), Now));
+  Made.m_Asked = m_LastAsked;
+  Out.push_back(std::move(Made));
   Backend.countSent();
   m_Attempts.emplace(Sent.m_Id, Sent);
   Value.m_Running.push_back(Sent.m_Id);
@@ -307,7 +318,8 @@
   constexpr double SecondMultiple = 1.3;
   constexpr Duration CallerTransit = std::chrono::milliseconds(30);
   const double Work = workSeconds(Wanted);
-  const TimePoint Latest = Value.m_Arrived + Target - CallerTransit - seconds(Work * SecondMultiple);
+  const TimePoint Latest =
+      Value.m_Arrived + Target - CallerTransit - seconds(Work * SecondMultiple);
   const TimePoint Earliest = Now + seconds(Work * EarliestMultiple);
   m_Timers.push({.m_At = std::max(Earliest, Latest),
                  .m_Type = RequestTimerType::Hedge,
@@ -316,8 +328,8 @@
 
 void Dispatcher::hedge(Request &Value, TimePoint Now, Actions &Out) {
   const Kind &Wanted = m_Kinds[Value.m_Kind];
-  const bool MayTryMore = Value.m_Tried.size() <
-                          std::min<std::size_t>(Wanted.m_Settings.m_MaxAttempts, MostAttempts);
+  const bool MayTryMore =
+      Value.m_Tried.size() < std::min<std::size_t>(Wanted.m_Settings.m_MaxAttempts, MostAttempts);
   if (Value.m_Running.size() != 1 || Value.m_Search || !MayTryMore || !m_Budget.canTake()) {
     return;
   }
@@ -345,7 +357,7 @@
   send(Value, Best->m_Backend, Now, Out);
 }
 
-void Dispatcher::callerGone(RequestId Id, TimePoint /*Now*/, Actions &Out) {
+void Dispatcher::callerGone(RequestId Id, TimePoint Now, Actions &Out) {
   const auto Found = m_Requests.find(Id);
   if (Found == m_Requests.end()) {
     return;
@@ -353,7 +365,7 @@
   Request &Value = Found->second;
   const bool IsIdempotent = m_Kinds[Value.m_Kind].m_Settings.m_Idempotent;
   if (Value.m_Running.empty() || IsIdempotent) {
-    refuse(Value, Reason::CallerGone, Duration::zero(), Out);
+    refuse(Value, Reason::CallerGone, Duration::zero(), Now, Out);
   }
 }
 
@@ -364,6 +376,7 @@
   }
   const Attempt Sent = Found->second;
   m_Attempts.erase(Found);
+  explainEnd(Sent, Ended, Now, Out);
   noteServer(Sent, Ended, Now, Out);
   if (Sent.m_IsPaid && Ended.m_Result == AttemptResult::NotSent) {
     m_Budget.giveBack();
@@ -378,6 +391,43 @@
   checkInvariants();
 }
 
+void Dispatcher::explainEnd(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now,
+                            Actions &Out) {
+  Decision Made{.m_Type = DecisionType::AttemptEnded,
+                .m_Request = Sent.m_Request,
+                .m_Took = Now - Sent.m_Started,
+                .m_Outcome = Sent.m_Cancelled ? "cancelled" : toString(Ended.m_Result),
+                .m_Status = Ended.m_Reply ? Ended.m_Reply->m_Status : 0};
+  if (const BackendView *Backend = findBackend(Sent.m_Server)) {
+    describe(Made, *Backend, Now);
+  }
+  Out.push_back(std::move(Made));
+}
+
+Decision Dispatcher::about(DecisionType Type, const Request &Value, TimePoint Now) const {
+  return {.m_Type = Type,
+          .m_Request = Value.m_Id,
+          .m_Took = Now - Value.m_Arrived,
+          .m_TimeLeft = Value.m_Deadline - Now};
+}
+
+void Dispatcher::describe(Decision &Made, const BackendView &Backend, TimePoint Now) {
+  Made.m_Server = Backend.m_Settings.m_Name;
+  Made.m_Load = Backend.m_Load;
+  Made.m_LoadAge = Now - Backend.m_LoadAt;
+  Made.m_Failures = Backend.m_Failures.value(Now);
+}
+
+void Dispatcher::addFailure(BackendView &Backend, double Weight, TimePoint Now, Actions &Out) {
+  const bool WasAside = Backend.m_Failures.value(Now) >= SetAsideFailures;
+  Backend.addFailure(Weight, Now);
+  if (!WasAside && Backend.m_Failures.value(Now) >= SetAsideFailures) {
+    Decision Made{.m_Type = DecisionType::ServerSetAside};
+    describe(Made, Backend, Now);
+    Out.push_back(std::move(Made));
+  }
+}
+
 void Dispatcher::noteServer(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now,
                             Actions &Out) {
   BackendView *Backend = findBackend(Sent.m_Server);
@@ -397,7 +447,7 @@
   switch (Ended.m_Result) {
   case AttemptResult::Completed:
     if (isServerError(*Ended.m_Reply)) {
-      Backend->addFailure(1.0, Now);
+      addFailure(*Backend, 1.0, Now, Out);
       Out.push_back(TellServerFailure{Sent.m_Server});
     } else {
       Backend->takeSuccess(Now);
@@ -405,13 +455,13 @@
     }
     return;
   case AttemptResult::NotRun:
-    Backend->addFailure(Ended.m_WrongServer ? SetAsideFailures : RefusedWork, Now);
+    addFailure(*Backend, Ended.m_WrongServer ? SetAsideFailures : RefusedWork, Now, Out);
     return;
   case AttemptResult::NotSent:
-    Backend->addFailure(1.0, Now);
+    addFailure(*Backend, 1.0, Now, Out);
     return;
   case AttemptResult::Unknown:
-    Backend->addFailure(1.0, Now);
+    addFailure(*Backend, 1.0, Now, Out);
     Out.push_back(TellServerFailure{Sent.m_Server});
     return;
   }
@@ -439,7 +489,7 @@
   const bool IsIdempotent = m_Kinds[Value.m_Kind].m_Settings.m_Idempotent;
   const bool Failed = Ended.m_Result == AttemptResult::Completed && isServerError(*Ended.m_Reply);
   if (Ended.m_Result == AttemptResult::Completed && !(Failed && IsIdempotent)) {
-    complete(Value, Ended.m_Reply, Out);
+    complete(Value, Ended.m_Reply, Now, Out);
     return;
   }
   if (Failed) {
@@ -457,9 +507,9 @@
   }
   const bool MayHaveRunOnce = Value.m_MayHaveRun && !IsIdempotent;
   const bool NotSent = Ended.m_Result == AttemptResult::NotSent;
-  const RetryReason Why = NotSent                                         ? RetryReason::NotSent
-                          : Ended.m_Result == AttemptResult::NotRun       ? RetryReason::ServerNotRun
-                                                                          : RetryReason::LostIdempotent;
+  const RetryReason Why = NotSent                                   ? RetryReason::NotSent
+                          : Ended.m_Result == AttemptResult::NotRun ? RetryReason::ServerNotRun
+                                                                    : RetryReason::LostIdempotent;
   if (MayHaveRunOnce || !retry(Value, Why, !NotSent, Now, Out)) {
     giveUp(Value, Now, Out);
   }
@@ -487,9 +537,9 @@
 }
 
 /// Answers a request for which nothing more can be done.
-void Dispatcher::giveUp(Request &Value, TimePoint /*Now*/, Actions &Out) {
+void Dispatcher::giveUp(Request &Value, TimePoint Now, Actions &Out) {
   if (Value.m_FailedReply) {
-    complete(Value, ReplyPtr(Value.m_FailedReply), Out);
+    complete(Value, ReplyPtr(Value.m_FailedReply), Now, Out);
     return;
   }
   constexpr double ShortestSeconds = 0.1;
@@ -501,7 +551,7 @@
   } else if (!Value.m_Tried.empty()) {
     Why = m_Budget.canTake() ? Reason::AttemptsRefused : Reason::RetryBudget;
   }
-  refuse(Value, Why, seconds(Spread(m_Context.m_Random)), Out);
+  refuse(Value, Why, seconds(Spread(m_Context.m_Random)), Now, Out);
 }
 
 void Dispatcher::probeEnded(const ProbeEnded &Ended, TimePoint Now, Actions &Out) {
@@ -517,10 +567,10 @@
   }
   if (Ended.m_WrongServer) {
     Backend->m_Load.reset();
-    Backend->addFailure(SetAsideFailures, Now);
+    addFailure(*Backend, SetAsideFailures, Now, Out);
   } else if (!Ended.m_Answered) {
     Backend->m_Load.reset();
-    Backend->addFailure(UnansweredProbe, Now);
+    addFailure(*Backend, UnansweredProbe, Now, Out);
   } else if (Ended.m_Load) {
     m_TellsLoad = true;
     Backend->takeLoad(*Ended.m_Load, Now);
@@ -528,7 +578,7 @@
     m_TellsLoad = false;
   }
   if (Ended.m_Answered && !Ended.m_Healthy) {
-    Backend->addFailure(UnhealthyProbe, Now);
+    addFailure(*Backend, UnhealthyProbe, Now, Out);
   }
   advanceSearches(Now, Out);
   checkInvariants();
@@ -590,17 +640,29 @@
   }
   const bool MayHaveRun = Value.m_MayHaveRun || !Value.m_Running.empty();
   refuse(Value, MayHaveRun ? Reason::DeadlineRunning : Reason::DeadlineMissed, Duration::zero(),
-         Out);
+         Now, Out);
 }
 
-void Dispatcher::complete(Request &Value, const ReplyPtr &Whole, Actions &Out) {
+void Dispatcher::complete(Request &Value, const ReplyPtr &Whole, TimePoint Now, Actions &Out) {
+  Decision Made = about(DecisionType::Answered, Value, Now);
+  Made.m_Status = Whole->m_Status;
+  Out.push_back(std::move(Made));
   ++m_Counters[Value.m_Kind].m_Completed;
-  Out.push_back(kernel::Answer{
-      .m_Request = Value.m_Id, .m_Outcome = Outcome::Completed, .m_Reply = Whole});
+  Out.push_back(
+      kernel::Answer{.m_Request = Value.m_Id, .m_Outcome = Outcome::Completed, .m_Reply = Whole});
   finish(Value, Out);
 }
 
-void Dispatcher::refuse(Request &Value, Reason Why, Duration RetryAfter, Actions &Out) {
+void Dispatcher::refuse(Request &Value, Reason Why, Duration RetryAfter, TimePoint Now,
+                        Actions &Out) {
+  Decision Made = about(DecisionType::Refused, Value, Now);
+  Made.m_Outcome = toString(Why);
+  if (!Value.m_Tried.empty()) {
+    if (const BackendView *Last = findBackend(Value.m_Tried.back())) {
+      describe(Made, *Last, Now);
+    }
+  }
+  Out.push_back(std::move(Made));
   const bool MayHaveRun = Value.m_MayHaveRun || !Value.m_Running.empty();
   KindCounters &Counters = m_Counters[Value.m_Kind];
   ++(MayHaveRun ? Counters.m_Unknown : Counters.m_NotRun)[static_cast<std::size_t>(Why)];
--- a/src/kernel/probed/placement.cpp
+++ b/src/kernel/probed/placement.cpp
@@ -74,8 +74,8 @@
   // With most servers set aside, the failures say more of the path than of the servers.
   const bool AskAll = 2 * Sound < From.m_Usable && Sound < ServersPerRound;
   while (Drawn.size() < ServersPerRound) {
-    const bool TakeFar = !From.m_Far.empty() &&
-                         (From.m_Near.empty() || Drawn.size() + 1 == ServersPerRound);
+    const bool TakeFar =
+        !From.m_Far.empty() && (From.m_Near.empty() || Drawn.size() + 1 == ServersPerRound);
     if (TakeFar) {
       Drawn.push_back(draw(From.m_Far, Random));
     } else if (!From.m_Near.empty()) {
@@ -89,8 +89,7 @@
   return Drawn;
 }
 
-std::optional<Candidate> cheapest(std::span<const BackendView> Backends,
-                                  const SearchTarget &Target,
+std::optional<Candidate> cheapest(std::span<const BackendView> Backends, const SearchTarget &Target,
                                   std::span<const BackendIndex> Asked, TimePoint Now) {
   std::optional<Candidate> Best;
   for (const BackendIndex Index : Asked) {
@@ -134,9 +133,8 @@
 }
 
 bool anyUsable(std::span<const BackendView> Backends, const SearchTarget &Target) {
-  return std::any_of(Backends.begin(), Backends.end(), [&Target](const BackendView &Backend) {
-    return isUsable(Backend, Target);
-  });
+  return std::any_of(Backends.begin(), Backends.end(),
+                     [&Target](const BackendView &Backend) { return isUsable(Backend, Target); });
 }
 
 } // namespace vanillahill::kernel::probed
--- a/src/kernel/reasons.cpp
+++ b/src/kernel/reasons.cpp
@@ -44,6 +44,40 @@
   return "none";
 }
 
+std::string_view toString(AttemptResult Value) {
+  switch (Value) {
+  case AttemptResult::Completed:
+    return "completed";
+  case AttemptResult::NotRun:
+    return "not_run";
+  case AttemptResult::NotSent:
+    return "not_sent";
+  case AttemptResult::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+std::string_view toString(DecisionType Value) {
+  switch (Value) {
+  case DecisionType::Placed:
+    return "request_placed";
+  case DecisionType::Retried:
+    return "request_retried";
+  case DecisionType::Hedged:
+    return "request_hedged";
+  case DecisionType::AttemptEnded:
+    return "attempt_ended";
+  case DecisionType::Answered:
+    return "request_answered";
+  case DecisionType::Refused:
+    return "request_refused";
+  case DecisionType::ServerSetAside:
+    return "server_set_aside";
+  }
+  return "unknown";
+}
+
 std::string_view toString(RetryReason Value) {
   switch (Value) {
   case RetryReason::ServerNotRun:
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -84,8 +84,8 @@
   }
   m_Reply.reset();
   m_IsWritten = false;
-  m_Request = m_Pool->m_Options.m_Dialect->m_ExchangeMessage(
-      *m_Exchange, m_Pool->m_VmName, SystemClock().now());
+  m_Request = m_Pool->m_Options.m_Dialect->m_ExchangeMessage(*m_Exchange, m_Pool->m_VmName,
+                                                             SystemClock().now());
   m_Serializer.emplace(m_Request);
   m_MayHaveLeft = true;
   http::async_write(m_Stream, *m_Serializer,
@@ -191,8 +191,7 @@
 
 void BackendConnection::completeIfWritten() {
   const Dialect &Speech = *m_Pool->m_Options.m_Dialect;
-  if (!m_Reply ||
-      (!m_IsWritten && m_Reply->keep_alive() && !Speech.m_Replies.m_TakesEarly)) {
+  if (!m_Reply || (!m_IsWritten && m_Reply->keep_alive() && !Speech.m_Replies.m_TakesEarly)) {
     return;
   }
   const bool Reuse = m_IsWritten && m_Reply->keep_alive() && !m_IsTainted;
--- a/src/net/backend_exchange.cpp
+++ b/src/net/backend_exchange.cpp
@@ -28,7 +28,8 @@
 
 HttpRequest exchangeMessage(const BackendExchange &Exchange, std::string_view VmName,
                             TimePoint Now) {
-  auto Message = Exchange.isProbe() ? healthMessage(Exchange.m_HealthPath) : Exchange.m_Request->m_Message;
+  auto Message =
+      Exchange.isProbe() ? healthMessage(Exchange.m_HealthPath) : Exchange.m_Request->m_Message;
   const auto Left = std::max<std::int64_t>(toMillis(Exchange.m_Deadline - Now), 0);
   Message.set("VH-Deadline-Ms", std::to_string(Left));
   Message.set(ExchangeHeader, std::to_string(Exchange.m_Id));
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -84,11 +84,10 @@
                                 .m_Reply = nullptr});
     return;
   }
-  start(
-      {.m_Id = raw(Dispatch.m_Attempt),
-       .m_Request = std::move(Request),
-       .m_Server = Dispatch.m_Server,
-       .m_Deadline = Dispatch.m_Deadline});
+  start({.m_Id = raw(Dispatch.m_Attempt),
+         .m_Request = std::move(Request),
+         .m_Server = Dispatch.m_Server,
+         .m_Deadline = Dispatch.m_Deadline});
 }
 
 void BackendPool::probe(ServerId Target) {
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -144,17 +144,17 @@
 
 void CallerConnection::answer(RequestId Id, kernel::Answer Answer) {
   // Dispatched, not posted: the thread that has the answer writes it, without a change of threads.
-  asio::dispatch(m_Stream.get_executor(),
-                 [Self = shared_from_this(), Id, Moved = std::move(Answer)]() mutable {
-                   if (Self->m_Phase != CallerPhase::Waiting || Self->m_Request != Id) {
-                     return;
-                   }
-                   Self->m_Answer = std::move(Moved);
-                   const bool KeepAlive = Self->m_KeepAlive && !Self->m_Server->isLeaving();
-                   Self->m_Response = Self->m_Server->m_Dialect.m_AnswerMessage(
-                       Self->m_Answer, Self->m_RefusalText, KeepAlive);
-                   Self->write(KeepAlive);
-                 });
+  asio::dispatch(m_Stream.get_executor(), [Self = shared_from_this(), Id,
+                                           Moved = std::move(Answer)]() mutable {
+    if (Self->m_Phase != CallerPhase::Waiting || Self->m_Request != Id) {
+      return;
+    }
+    Self->m_Answer = std::move(Moved);
+    const bool KeepAlive = Self->m_KeepAlive && !Self->m_Server->isLeaving();
+    Self->m_Response =
+        Self->m_Server->m_Dialect.m_AnswerMessage(Self->m_Answer, Self->m_RefusalText, KeepAlive);
+    Self->write(KeepAlive);
+  });
 }
 
 void CallerConnection::refuse(CallerFault Fault) {
--- a/src/net/caller_request.cpp
+++ b/src/net/caller_request.cpp
@@ -111,7 +111,8 @@
   constexpr double GoldenRatio = 0.6180339887498949;
   const auto Count = Chosen.m_Count.fetch_add(1, std::memory_order_relaxed);
   double Whole = 0.0;
-  double Position = std::modf(static_cast<double>(Count) * GoldenRatio, &Whole) * Chosen.m_WeightSum;
+  double Position =
+      std::modf(static_cast<double>(Count) * GoldenRatio, &Whole) * Chosen.m_WeightSum;
   for (const RouteShare &Share : Shares) {
     if (Position < Share.m_Weight) {
       return Share;
--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -32,17 +32,17 @@
 }
 
 void Datagrams::receive() {
-  m_Socket.async_receive_from(asio::buffer(m_Buffer), m_From,
-                              [Self = shared_from_this()](ErrorCode Failure, std::size_t Count) {
-                                if (Failure == asio::error::operation_aborted) {
-                                  return;
-                                }
-                                if (!Failure && Self->m_OnDatagram) {
-                                  Self->m_OnDatagram(Self->m_From.address().to_string(),
-                                                     {Self->m_Buffer.data(), Count});
-                                }
-                                Self->receive();
-                              });
+  m_Socket.async_receive_from(
+      asio::buffer(m_Buffer), m_From,
+      [Self = shared_from_this()](ErrorCode Failure, std::size_t Count) {
+        if (Failure == asio::error::operation_aborted) {
+          return;
+        }
+        if (!Failure && Self->m_OnDatagram) {
+          Self->m_OnDatagram(Self->m_From.address().to_string(), {Self->m_Buffer.data(), Count});
+        }
+        Self->receive();
+      });
 }
 
 void Datagrams::send(const std::string &Ip, std::string_view Datagram) {
--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -55,6 +55,9 @@
   void carryOut(kernel::AppendLog &Step) { m_Platform->append(std::move(Step.m_Data)); }
   void carryOut(kernel::Probe &Step) { m_Pool->probe(Step.m_Server); }
   void carryOut(kernel::SettingsChanged &Step);
+  void carryOut(kernel::Decision & /*Step*/) {
+    // Decisions of this deployment are counted in the metrics.
+  }
   void carryOut(kernel::TellServerFailure & /*Step*/) {
     // Heartbeats between VMs carry this already.
   }
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -51,6 +51,7 @@
     putInForce();
   }
   greet();
+  observe::flushLog();
   if (hasFleetChanged()) {
     putInForce();
   }
@@ -67,8 +68,7 @@
 }
 
 void FleetClient::arm() {
-  const auto Next =
-      std::min({m_Follower.nextTimer(), m_Catalog.nextTimer(), m_Peers.nextTimer()});
+  const auto Next = std::min({m_Follower.nextTimer(), m_Catalog.nextTimer(), m_Peers.nextTimer()});
   m_Timer.expires_at(Next);
   m_Timer.async_wait([Self = shared_from_this()](ErrorCode Failure) {
     if (!Failure && !Self->m_Closed) {
@@ -100,7 +100,8 @@
   }
   std::vector<bool> Keeps;
   const bool Changed = take(Which, *Result, Keeps, Now);
-  const bool IsRange = From && !Result->m_IsWhole && *From + Result->m_Records.size() == Result->m_To;
+  const bool IsRange =
+      From && !Result->m_IsWhole && *From + Result->m_Records.size() == Result->m_To;
   fleet::RecordRange Range{.m_Stream = Which,
                            .m_From = IsRange ? *From : Result->m_To,
                            .m_To = Result->m_To,
@@ -189,8 +190,8 @@
                            TimePoint Now) {
   const auto Flags = std::make_unique<bool[]>(Keeps.size());
   std::copy(Keeps.begin(), Keeps.end(), Flags.get());
-  for (const fleet::StoreNews &Part : fleet::splitNews(
-           Range, {Flags.get(), Keeps.size()}, Now - Range.m_AskedAt, Now < m_LapseUntil)) {
+  for (const fleet::StoreNews &Part : fleet::splitNews(Range, {Flags.get(), Keeps.size()},
+                                                       Now - Range.m_AskedAt, Now < m_LapseUntil)) {
     sendToAll(Part);
   }
   m_Peers.toldAll(Now);
@@ -264,22 +265,21 @@
     return;
   }
   std::uniform_int_distribution<std::size_t> Position(0, Others.size() - 1);
-  send(Others[Position(m_Random)],
-       fleet::SnapshotWanted{
-           .m_Version = m_Catalog.version(),
-           .m_ServersPosition = m_Follower.position(Stream::Servers).value_or(0)});
+  send(
+      Others[Position(m_Random)],
+      fleet::SnapshotWanted{.m_Version = m_Catalog.version(),
+                            .m_ServersPosition = m_Follower.position(Stream::Servers).value_or(0)});
 }
 
-void FleetClient::on(std::string_view Ip, const fleet::SnapshotWanted &Message,
-                     TimePoint /*Now*/) {
+void FleetClient::on(std::string_view Ip, const fleet::SnapshotWanted &Message, TimePoint /*Now*/) {
   const std::uint64_t Servers = m_Follower.position(Stream::Servers).value_or(0);
   const bool HasNewerVersion = m_Catalog.version() > Message.m_Version;
   if (!HasNewerVersion && Servers <= Message.m_ServersPosition) {
     return;
   }
-  fleet::Snapshot Whole{
-      .m_ConfigurationPosition = m_Follower.position(Stream::Configuration).value_or(0),
-      .m_ServersPosition = Servers};
+  fleet::Snapshot Whole{.m_ConfigurationPosition =
+                            m_Follower.position(Stream::Configuration).value_or(0),
+                        .m_ServersPosition = Servers};
   if (HasNewerVersion) {
     Whole.m_ConfigurationText = m_ConfigurationText;
   }
@@ -296,13 +296,15 @@
   if (!Whole) {
     return;
   }
-  bool Changed = !Whole->m_ConfigurationText.empty() && takeConfiguration(Whole->m_ConfigurationText);
+  bool Changed =
+      !Whole->m_ConfigurationText.empty() && takeConfiguration(Whole->m_ConfigurationText);
   if (Whole->m_ServersPosition > m_Follower.position(Stream::Servers).value_or(0)) {
     std::vector<bool> Ignored;
-    Changed = take(Stream::Servers,
-                   {.m_To = Whole->m_ServersPosition, .m_Records = Whole->m_Servers, .m_IsWhole = true},
-                   Ignored, Now) ||
-              Changed;
+    Changed =
+        take(Stream::Servers,
+             {.m_To = Whole->m_ServersPosition, .m_Records = Whole->m_Servers, .m_IsWhole = true},
+             Ignored, Now) ||
+        Changed;
     m_Follower.jumpTo(Stream::Servers, Whole->m_ServersPosition);
   }
   observe::log(LogLevel::Info, "snapshot_taken",
--- /dev/null
+++ b/src/observe/decision_log.cpp
@@ -0,0 +1,115 @@
+#include "vanillahill/observe/decision_log.hpp"
+
+#include "vanillahill/observe/log.hpp"
+
+#include <xxhash.h>
+
+namespace vanillahill::observe {
+
+namespace {
+
+using kernel::Decision;
+using kernel::DecisionType;
+
+std::string micros(Duration Value) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(Value).count());
+}
+
+std::string hundredths(double Value) {
+  constexpr double Hundred = 100.0;
+  const auto Rounded = static_cast<std::int64_t>(Value * Hundred + 0.5);
+  const std::string Digits = std::to_string(Rounded % 100);
+  return std::to_string(Rounded / 100) + (Digits.size() < 2 ? ".0" : ".") + Digits;
+}
+
+void addLoad(std::vector<LogField> &Fields, const Decision &Made) {
+  if (!Made.m_Load) {
+    return;
+  }
+  Fields.push_back({"load", std::to_string(Made.m_Load->m_Running) + "+" +
+                                std::to_string(Made.m_Load->m_Waiting) + "/" +
+                                std::to_string(Made.m_Load->m_Slots)});
+  Fields.push_back({"slowdown", hundredths(Made.m_Load->m_Slowdown)});
+  Fields.push_back({"load_age_us", micros(Made.m_LoadAge)});
+}
+
+std::vector<LogField> fieldsOf(const Decision &Made) {
+  std::vector<LogField> Fields;
+  if (!Made.m_Server.empty()) {
+    Fields.push_back({"server", Made.m_Server});
+    Fields.push_back({"failures", hundredths(Made.m_Failures)});
+  }
+  addLoad(Fields, Made);
+  if (Made.m_Expected > Duration::zero()) {
+    Fields.push_back({"expected_us", micros(Made.m_Expected)});
+  }
+  if (Made.m_Asked > 0) {
+    Fields.push_back({"asked", std::to_string(Made.m_Asked)});
+  }
+  if (Made.m_Took > Duration::zero()) {
+    Fields.push_back({"took_us", micros(Made.m_Took)});
+  }
+  if (Made.m_TimeLeft != Duration::zero()) {
+    Fields.push_back({"left_us", micros(Made.m_TimeLeft)});
+  }
+  if (!Made.m_Outcome.empty()) {
+    Fields.push_back({"outcome", std::string(Made.m_Outcome)});
+  }
+  if (Made.m_Status != 0) {
+    Fields.push_back({"status", std::to_string(Made.m_Status)});
+  }
+  return Fields;
+}
+
+} // namespace
+
+DecisionLog::DecisionLog(DecisionLogOptions Options)
+    : m_Options(Options), m_Important(Options.m_ImportantPerSecond),
+      m_Kept(Options.m_KeptPerSecond) {}
+
+bool DecisionLog::keeps(std::string_view CallerId) const {
+  return !CallerId.empty() &&
+         XXH3_64bits(CallerId.data(), CallerId.size()) % m_Options.m_KeepOneIn == 0;
+}
+
+bool DecisionLog::isImportant(const Decision &Made) {
+  constexpr std::uint32_t FirstFailure = 400;
+  switch (Made.m_Type) {
+  case DecisionType::Refused:
+  case DecisionType::Retried:
+  case DecisionType::ServerSetAside:
+    return true;
+  case DecisionType::AttemptEnded:
+    return Made.m_Outcome != "completed" && Made.m_Outcome != "cancelled";
+  case DecisionType::Answered:
+    return Made.m_Status >= FirstFailure;
+  case DecisionType::Placed:
+  case DecisionType::Hedged:
+    return false;
+  }
+  return false;
+}
+
+void DecisionLog::write(const Decision &Made, std::string_view CallerId, std::uint64_t Version,
+                        TimePoint Now) {
+  const bool Important = isImportant(Made);
+  if (!Important && !keeps(CallerId)) {
+    return;
+  }
+  if (!(Important ? m_Important : m_Kept).take(Now)) {
+    ++m_LeftOut;
+    return;
+  }
+  std::vector<LogField> Fields = fieldsOf(Made);
+  if (!CallerId.empty()) {
+    Fields.insert(Fields.begin(), {"request", std::string(CallerId)});
+  }
+  Fields.push_back({"config", std::to_string(Version)});
+  if (m_LeftOut > 0) {
+    Fields.push_back({"lines_left_out", std::to_string(m_LeftOut)});
+    m_LeftOut = 0;
+  }
+  log(Important ? LogLevel::Warning : LogLevel::Info, toString(Made.m_Type), Fields);
+}
+
+} // namespace vanillahill::observe
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,5 +1,7 @@
 #include "vanillahill/observe/log.hpp"
 
+#include "line_sink.hpp"
+
 #include <nlohmann/json.hpp>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -29,7 +31,7 @@
 
 std::shared_ptr<spdlog::sinks::sink> makeSink() {
   if (UsesStandardOutput) {
-    return std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    return std::make_shared<LineSink>();
   }
   return std::make_shared<spdlog::sinks::stderr_sink_mt>();
 }
@@ -39,7 +41,8 @@
     auto Made = std::make_shared<spdlog::logger>("vanillahill", makeSink());
     // The line itself is JSON; the sink adds nothing.
     Made->set_pattern("%v");
-    Made->flush_on(spdlog::level::warn);
+    // Warnings are many under load: only errors are written at once.
+    Made->flush_on(UsesStandardOutput ? spdlog::level::err : spdlog::level::warn);
     return Made;
   }();
   return *Instance;
@@ -85,6 +88,12 @@
 }
 
 void log(LogLevel Level, std::string_view Event, std::initializer_list<LogField> Fields) {
+  log(Level, Event, std::span<const LogField>(Fields.begin(), Fields.size()));
+}
+
+void flushLog() { logger().flush(); }
+
+void log(LogLevel Level, std::string_view Event, std::span<const LogField> Fields) {
   if (!logger().should_log(LevelNames[static_cast<std::size_t>(Level)].m_Level)) {
     return;
   }
--- a/tests/probed_desk.hpp
+++ b/tests/probed_desk.hpp
@@ -64,8 +64,10 @@
                            .m_MaxAttempts = 2}};
     m_Settings.m_Policy = {.m_Name = "probed", .m_ProbesPerSecond = 1000.0, .m_RetryRatio = 0.2};
     for (std::size_t Index = 0; Index < Servers; ++Index) {
-      m_Settings.m_Servers.push_back({.m_Id = id(Index), .m_Name = "s" + std::to_string(Index),
-                                      .m_DataCenter = "dc", .m_Slots = 4});
+      m_Settings.m_Servers.push_back({.m_Id = id(Index),
+                                      .m_Name = "s" + std::to_string(Index),
+                                      .m_DataCenter = "dc",
+                                      .m_Slots = 4});
       m_Servers.emplace(id(Index), FakeServer{});
     }
     if (Change) {
@@ -136,8 +138,8 @@
   std::size_t attemptsOf(RequestId Request) const {
     std::size_t Sum = 0;
     for (const auto &[Id, Server] : m_Servers) {
-      Sum += static_cast<std::size_t>(
-          std::count(Server.m_Got.begin(), Server.m_Got.end(), Request));
+      Sum +=
+          static_cast<std::size_t>(std::count(Server.m_Got.begin(), Server.m_Got.end(), Request));
     }
     return Sum;
   }
@@ -168,7 +170,8 @@
     const Duration Takes = Fake.m_AnswersProbes ? milliseconds(2) : milliseconds(250);
     later(Takes, [this, Server](TimePoint Now) {
       const FakeServer &Asked = m_Servers.at(Server);
-      ProbeEnded Ended{.m_Server = Server, .m_Healthy = Asked.m_AnswersProbes,
+      ProbeEnded Ended{.m_Server = Server,
+                       .m_Healthy = Asked.m_AnswersProbes,
                        .m_Answered = Asked.m_AnswersProbes};
       if (Asked.m_AnswersProbes && Asked.m_TellsLoad) {
         Ended.m_Load = loadOf(Asked);
@@ -180,7 +183,9 @@
   }
 
   static LoadReport loadOf(const FakeServer &Fake) {
-    return {.m_Running = Fake.m_Running, .m_Waiting = Fake.m_Waiting, .m_Slots = Fake.m_Slots,
+    return {.m_Running = Fake.m_Running,
+            .m_Waiting = Fake.m_Waiting,
+            .m_Slots = Fake.m_Slots,
             .m_Slowdown = Fake.m_Slowdown};
   }
 
--- a/tests/store_fake.hpp
+++ b/tests/store_fake.hpp
@@ -96,13 +96,14 @@
   }
 
   static std::string records(const Topic &Wanted, std::uint64_t From) {
-    std::string Body = big<std::uint64_t>(Wanted.m_Records.size()) + big<std::uint64_t>(Wanted.m_First);
+    std::string Body =
+        big<std::uint64_t>(Wanted.m_Records.size()) + big<std::uint64_t>(Wanted.m_First);
     for (std::size_t Index = From; Index < Wanted.m_Records.size(); ++Index) {
       const Entry &One = Wanted.m_Records[Index];
-      const std::string Raw =
-          !One.m_Raw.empty()
-              ? One.m_Raw
-              : std::string(1, static_cast<char>(One.m_Key.size())) + One.m_Key + One.m_Value.value_or("");
+      const std::string Raw = !One.m_Raw.empty()
+                                  ? One.m_Raw
+                                  : std::string(1, static_cast<char>(One.m_Key.size())) +
+                                        One.m_Key + One.m_Value.value_or("");
       Body += big<std::uint32_t>(static_cast<std::uint32_t>(Raw.size())) + Raw;
     }
     return Body;
@@ -140,8 +141,8 @@
     std::size_t Count = 0;
     auto Next = Live.upper_bound(After);
     for (; Next != Live.end() && Count < PageSize; ++Next, ++Count) {
-      Items += std::string(Count > 0 ? "," : "") + "{\"key\":\"" + Next->first +
-               "\",\"value\":\"" + base64(Next->second) + "\",\"offset\":0}";
+      Items += std::string(Count > 0 ? "," : "") + "{\"key\":\"" + Next->first + "\",\"value\":\"" +
+               base64(Next->second) + "\",\"offset\":0}";
     }
     return "{\"items\":[" + Items + "],\"has_more\":" + (Next != Live.end() ? "true" : "false") +
            ",\"end\":" + std::to_string(Wanted.m_Records.size()) + "}";
--- a/tests/unit-follower.cpp
+++ b/tests/unit-follower.cpp
@@ -43,7 +43,8 @@
   Follower Value = current();
   const TimePoint Told = Start + milliseconds(600);
   for (const Stream Which : {Stream::Configuration, Stream::Servers}) {
-    EXPECT_FALSE(Value.heard({.m_Stream = Which, .m_From = 10, .m_To = 10, .m_AskedAt = Told}, Told));
+    EXPECT_FALSE(
+        Value.heard({.m_Stream = Which, .m_From = 10, .m_To = 10, .m_AskedAt = Told}, Told));
   }
   EXPECT_GE(Value.nextTimer(), Told + milliseconds(700));
 }
@@ -51,17 +52,20 @@
 TEST(Follower, AnOldWordPutsNothingOff) {
   Follower Value = current();
   const TimePoint Before = Value.nextTimer();
-  Value.heard({.m_Stream = Stream::Servers, .m_From = 10, .m_To = 10, .m_AskedAt = Start - seconds(1)},
-              Start + milliseconds(500));
+  Value.heard(
+      {.m_Stream = Stream::Servers, .m_From = 10, .m_To = 10, .m_AskedAt = Start - seconds(1)},
+      Start + milliseconds(500));
   EXPECT_EQ(Value.nextTimer(), Before);
 }
 
 TEST(Follower, TakesRecordsThatFollowAndReadsWhenSomeAreMissing) {
   Follower Value = current();
   const TimePoint Now = Start + milliseconds(100);
-  EXPECT_TRUE(Value.heard({.m_Stream = Stream::Servers, .m_From = 8, .m_To = 14, .m_AskedAt = Now}, Now));
+  EXPECT_TRUE(
+      Value.heard({.m_Stream = Stream::Servers, .m_From = 8, .m_To = 14, .m_AskedAt = Now}, Now));
   EXPECT_EQ(Value.position(Stream::Servers), 14U);
-  EXPECT_FALSE(Value.heard({.m_Stream = Stream::Servers, .m_From = 16, .m_To = 18, .m_AskedAt = Now}, Now));
+  EXPECT_FALSE(
+      Value.heard({.m_Stream = Stream::Servers, .m_From = 16, .m_To = 18, .m_AskedAt = Now}, Now));
   EXPECT_EQ(Value.position(Stream::Servers), 14U);
   EXPECT_EQ(Value.nextRead(Now), Stream::Servers);
 }
@@ -144,7 +148,9 @@
     std::bernoulli_distribution IsLost(m_LossShare);
     for (std::size_t Other = 0; Other < m_Vms.size(); ++Other) {
       if (Other != Vm && !IsLost(m_Random)) {
-        m_Vms[Other].heard({.m_Stream = *Which, .m_From = Position.value_or(To), .m_To = To, .m_AskedAt = Now}, Now);
+        m_Vms[Other].heard(
+            {.m_Stream = *Which, .m_From = Position.value_or(To), .m_To = To, .m_AskedAt = Now},
+            Now);
       }
     }
   }
--- a/tests/unit-news.cpp
+++ b/tests/unit-news.cpp
@@ -36,7 +36,8 @@
   EXPECT_EQ(Told.m_Records[0].m_Value, std::string("\0x", 2));
   EXPECT_FALSE(Told.m_Records[1].m_Value);
   EXPECT_EQ(roundTrip(ServerFailed{.m_Server = ServerId{5}}).m_Server, ServerId{5});
-  EXPECT_EQ(roundTrip(SnapshotWanted{.m_Version = 4, .m_ServersPosition = 8}).m_ServersPosition, 8U);
+  EXPECT_EQ(roundTrip(SnapshotWanted{.m_Version = 4, .m_ServersPosition = 8}).m_ServersPosition,
+            8U);
   EXPECT_EQ(roundTrip(SnapshotPiece{.m_Number = 4, .m_Count = 1, .m_Bytes = "x"}).m_Bytes, "x");
 }
 
@@ -45,8 +46,10 @@
 }
 
 RC_GTEST_PROP(News, AChangedMessageIsAMessageOrAnError, (std::uint16_t At, char Byte)) {
-  std::string Datagram = encodeNews(StoreNews{
-      .m_Stream = Stream::Servers, .m_From = 1, .m_To = 3, .m_Records = {{"key", "value"}, {"b", {}}}});
+  std::string Datagram = encodeNews(StoreNews{.m_Stream = Stream::Servers,
+                                              .m_From = 1,
+                                              .m_To = 3,
+                                              .m_Records = {{"key", "value"}, {"b", {}}}});
   Datagram[At % Datagram.size()] = Byte;
   decodeNews(Datagram);
 }
--- a/tests/unit-platform-decode.cpp
+++ b/tests/unit-platform-decode.cpp
@@ -108,7 +108,8 @@
   EXPECT_EQ(Read.m_ColdFor, seconds(2));
   EXPECT_EQ(Read.m_BornMillis, 1764800000000);
   EXPECT_FALSE(Read.m_Draining);
-  EXPECT_TRUE(decodeServer("i-1", replaced(ServerText, "\"ready\"", "\"draining\"")).value().m_Draining);
+  EXPECT_TRUE(
+      decodeServer("i-1", replaced(ServerText, "\"ready\"", "\"draining\"")).value().m_Draining);
 }
 
 TEST(PlatformDecode, SkipsARecordThatNamesNoUsableServer) {
--- a/tests/unit-platform-front.cpp
+++ b/tests/unit-platform-front.cpp
@@ -26,11 +26,12 @@
 
   std::string record(std::string_view State = "ready", int Sequence = 1,
                      std::string_view Service = "svc") const {
-    return "{\"service\":\"" + std::string(Service) + "\",\"address\":\"127.0.0.1:" +
-           std::to_string(m_Server.port()) +
+    return "{\"service\":\"" + std::string(Service) +
+           "\",\"address\":\"127.0.0.1:" + std::to_string(m_Server.port()) +
            "\",\"zone\":\"dc1\",\"version\":\"v1\",\"capacity\":3,\"state\":\"" +
-           std::string(State) + "\",\"warmup_left\":\"0ms\",\"sequence\":" +
-           std::to_string(Sequence) + ",\"born\":1000}";
+           std::string(State) +
+           "\",\"warmup_left\":\"0ms\",\"sequence\":" + std::to_string(Sequence) +
+           ",\"born\":1000}";
   }
 
   const std::string &id() const { return m_Id; }
@@ -39,10 +40,10 @@
   /// A signed reply with the request's id.
   static std::string reply(const BackendRequest &Request, std::string_view Status,
                            std::string_view Body, std::string_view More = {}) {
-    return "HTTP/1.1 " + std::string(Status) + "\r\nRequest-Id: " +
-           std::string(Request["Request-Id"]) + "\r\nResponse-Signature: sig\r\n" +
-           std::string(More) + "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
-           std::string(Body);
+    return "HTTP/1.1 " + std::string(Status) +
+           "\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
+           "\r\nResponse-Signature: sig\r\n" + std::string(More) +
+           "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + std::string(Body);
   }
 
 private:
@@ -171,7 +172,9 @@
 
 class FrontTest : public testing::Test {
 protected:
-  void add(const PlatformServer &Server) { m_Store.put("keyed.servers", Server.id(), Server.record()); }
+  void add(const PlatformServer &Server) {
+    m_Store.put("keyed.servers", Server.id(), Server.record());
+  }
 
   FakeStore m_Store;
 };
@@ -284,17 +287,19 @@
     EXPECT_EQ(Vm.readiness(), 200U);
   }
   m_Store.setFault(StoreFault::None);
-  m_Store.put("keyed.op", "config", configuration(4, "{\"resource_kind\":\"routes\",\"metadata\":"
-                                                     "{\"name\":\"new\"},\"spec\":{\"host\":"
-                                                     "\"a.example\",\"path_prefix\":\"/new/\","
-                                                     "\"kind\":\"safe\",\"service\":\"svc\"}},"));
+  m_Store.put("keyed.op", "config",
+              configuration(4, "{\"resource_kind\":\"routes\",\"metadata\":"
+                               "{\"name\":\"new\"},\"spec\":{\"host\":"
+                               "\"a.example\",\"path_prefix\":\"/new/\","
+                               "\"kind\":\"safe\",\"service\":\"svc\"}},"));
   Vm.awaitAnswer("/new/1", 200);
 }
 
 TEST_F(FrontTest, ARequestThatMayHaveRunIsNeverCalledNotRun) {
-  const std::vector<std::pair<std::string, unsigned>> Replies = {
-      {"503 Service Unavailable", 502}, {"429 Too Many Requests", 502}, {"500 Internal Server Error", 500},
-      {"404 Not Found", 404}};
+  const std::vector<std::pair<std::string, unsigned>> Replies = {{"503 Service Unavailable", 502},
+                                                                 {"429 Too Many Requests", 502},
+                                                                 {"500 Internal Server Error", 500},
+                                                                 {"404 Not Found", 404}};
   for (const auto &[Status, Expected] : Replies) {
     FakeStore Store;
     PlatformServer Server("i-1", [Status = Status](const BackendRequest &Request) {
@@ -331,25 +336,48 @@
 };
 
 const SpoiltReply SpoiltReplies[] = {
-    {"unsigned", [](const BackendRequest &Request) {
+    {"unsigned",
+     [](const BackendRequest &Request) {
        return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
-              "\r\nContent-Length: 2\r\n\r\nok"; }, 502},
-    {"encoded", [](const BackendRequest &Request) {
-       return PlatformServer::reply(Request, "200 OK", "zip", "Content-Encoding: gzip\r\n"); }, 502},
-    {"cut", [](const BackendRequest &Request) {
+              "\r\nContent-Length: 2\r\n\r\nok";
+     },
+     502},
+    {"encoded",
+     [](const BackendRequest &Request) {
+       return PlatformServer::reply(Request, "200 OK", "zip", "Content-Encoding: gzip\r\n");
+     },
+     502},
+    {"cut",
+     [](const BackendRequest &Request) {
        return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
-              "\r\nResponse-Signature: s\r\nConnection: close\r\nContent-Length: 50\r\n\r\nshort"; }, 504},
-    {"other request", [](const BackendRequest &) {
+              "\r\nResponse-Signature: s\r\nConnection: close\r\nContent-Length: 50\r\n\r\nshort";
+     },
+     504},
+    {"other request",
+     [](const BackendRequest &) {
        return std::string("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s\r\n"
-                          "Content-Length: 2\r\n\r\nno"); }, 504},
-    {"late answer to another request first", [](const BackendRequest &Request) {
+                          "Content-Length: 2\r\n\r\nno");
+     },
+     504},
+    {"late answer to another request first",
+     [](const BackendRequest &Request) {
        return "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s\r\nContent-Length: 2"
-              "\r\n\r\nno" + PlatformServer::reply(Request, "200 OK", "own"); }, 200},
-    {"further bytes", [](const BackendRequest &Request) {
-       return PlatformServer::reply(Request, "200 OK", "own") + "HTTP/1.1 200 OK\r\n"; }, 200},
-    {"chunked", [](const BackendRequest &Request) {
+              "\r\n\r\nno" +
+              PlatformServer::reply(Request, "200 OK", "own");
+     },
+     200},
+    {"further bytes",
+     [](const BackendRequest &Request) {
+       return PlatformServer::reply(Request, "200 OK", "own") + "HTTP/1.1 200 OK\r\n";
+     },
+     200},
+    {"chunked",
+     [](const BackendRequest &Request) {
        return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
-              "\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\now\r\n1\r\nn\r\n0\r\n\r\n"; }, 200},
+              "\r\nResponse-Signature: s\r\nTransfer-Encoding: "
+              "chunked\r\n\r\n2\r\now\r\n1\r\nn\r\n0\r\n\r\n";
+     },
+     200},
     {"no reply", [](const BackendRequest &) { return std::string(); }, 502}};
 
 TEST_F(FrontTest, OnlyWholeOwnSignedRepliesAreSuccesses) {
