Each VM prefers its own part of a large service

Rendezvous hashing gives each VM 24 servers of its data centre and 12 elsewhere; the rest are used when these are of no use. The small sites have fewer.

--- a/include/vanillahill/kernel/probed/backend_view.hpp
+++ b/include/vanillahill/kernel/probed/backend_view.hpp
@@ -58,6 +58,8 @@
   ServerSettings m_Settings;
   /// In the same data centre as this VM.
   bool m_IsNear = false;
+  /// In this VM's own part of a large service; others are used only when these are of no use.
+  bool m_IsPreferred = true;
   /// Attempts of this VM that run there.
   std::uint32_t m_InFlight = 0;
   std::optional<LoadReport> m_Load;
--- a/include/vanillahill/kernel/probed/placement.hpp
+++ b/include/vanillahill/kernel/probed/placement.hpp
@@ -27,6 +27,15 @@
 /// A server elsewhere must be faster by this share of the usual time to be chosen.
 inline constexpr double FarPenalty = 0.12;
 
+/// Servers of a service that one VM prefers, in its own data centre and elsewhere. Few enough that
+/// their connections stay in use, many enough to find quick ones.
+inline constexpr std::size_t PreferredNear = 24;
+inline constexpr std::size_t PreferredFar = 12;
+
+/// \brief Marks the servers that a VM prefers, by rendezvous hashing: VMs take different parts of a
+/// large service, and a server that comes or goes changes little.
+void choosePreferred(std::span<BackendView> Backends, VmId Self);
+
 /// What a search looks for.
 struct SearchTarget {
   /// Usual time of the request's kind, seconds.
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -59,6 +59,7 @@
     Next.push_back(std::move(View));
   }
   m_Backends = std::move(Next);
+  choosePreferred(m_Backends, m_Context.m_Self);
   // Positions have changed: searches begin anew with the next round.
   for (const RequestId Id : m_Searching) {
     Search &Looking = *m_Requests.at(Id).m_Search;
--- a/src/kernel/probed/placement.cpp
+++ b/src/kernel/probed/placement.cpp
@@ -1,5 +1,8 @@
 #include "vanillahill/kernel/probed/placement.hpp"
 
+#include <xxhash.h>
+
+#include <array>
 #include <vector>
 
 namespace vanillahill::kernel::probed {
@@ -21,8 +24,10 @@
 struct Groups {
   std::vector<BackendIndex> m_Near;
   std::vector<BackendIndex> m_Far;
+  /// Sound, but not preferred by this VM.
+  std::vector<BackendIndex> m_Others;
   std::vector<BackendIndex> m_SetAside;
-  std::size_t m_Usable = 0;
+  std::size_t m_Preferred = 0;
 };
 
 Groups groupBackends(std::span<const BackendView> Backends, const SearchTarget &Target,
@@ -33,12 +38,14 @@
     if (!isUsable(Backend, Target)) {
       continue;
     }
-    ++Out.m_Usable;
+    Out.m_Preferred += Backend.m_IsPreferred ? 1 : 0;
     if (std::find(Asked.begin(), Asked.end(), Index) != Asked.end()) {
       continue;
     }
     if (isSetAside(Backend, Target, Now) || Backend.m_ProbeSince) {
       Out.m_SetAside.push_back(Index);
+    } else if (!Backend.m_IsPreferred) {
+      Out.m_Others.push_back(Index);
     } else {
       (Backend.m_IsNear ? Out.m_Near : Out.m_Far).push_back(Index);
     }
@@ -58,6 +65,25 @@
 
 } // namespace
 
+void choosePreferred(std::span<BackendView> Backends, VmId Self) {
+  std::vector<std::pair<std::uint64_t, BackendIndex>> Ranked;
+  for (BackendIndex Index = 0; Index < Backends.size(); ++Index) {
+    const std::array<std::uint32_t, 2> Pair{raw(Self), raw(Backends[Index].m_Settings.m_Id)};
+    Ranked.emplace_back(XXH3_64bits(Pair.data(), sizeof(Pair)), Index);
+  }
+  std::sort(Ranked.begin(), Ranked.end());
+  std::size_t Near = 0;
+  std::size_t Far = 0;
+  for (const auto &[Rank, Index] : Ranked) {
+    BackendView &Backend = Backends[Index];
+    std::size_t &Count = Backend.m_IsNear ? Near : Far;
+    const std::size_t Most = Backend.m_IsNear ? PreferredNear : PreferredFar;
+    // A leaving server takes nobody's place.
+    Backend.m_IsPreferred = Backend.m_Settings.m_Leaving || Count < Most;
+    Count += Backend.m_Settings.m_Leaving ? 0 : 1;
+  }
+}
+
 double costOf(const BackendView &Backend, const SearchTarget &Target, TimePoint Now) {
   const double Expected = Backend.expectedSeconds(Target.m_WorkSeconds, Now);
   const double Failures = Backend.m_Failures.value(Now);
@@ -72,7 +98,7 @@
   boost::container::static_vector<BackendIndex, ServersPerRound> Drawn;
   const std::size_t Sound = From.m_Near.size() + From.m_Far.size();
   // With most servers set aside, the failures say more of the path than of the servers.
-  const bool AskAll = 2 * Sound < From.m_Usable && Sound < ServersPerRound;
+  const bool AskAll = 2 * Sound < From.m_Preferred && Sound < ServersPerRound;
   while (Drawn.size() < ServersPerRound) {
     const bool TakeFar =
         !From.m_Far.empty() && (From.m_Near.empty() || Drawn.size() + 1 == ServersPerRound);
@@ -80,6 +106,8 @@
       Drawn.push_back(draw(From.m_Far, Random));
     } else if (!From.m_Near.empty()) {
       Drawn.push_back(draw(From.m_Near, Random));
+    } else if (!From.m_Others.empty()) {
+      Drawn.push_back(draw(From.m_Others, Random));
     } else if (AskAll && !From.m_SetAside.empty()) {
       Drawn.push_back(draw(From.m_SetAside, Random));
     } else {
@@ -113,6 +141,9 @@
   Groups From = groupBackends(Backends, Target, {}, Now);
   std::vector<BackendIndex> &Pool = From.m_Near;
   Pool.insert(Pool.end(), From.m_Far.begin(), From.m_Far.end());
+  if (Pool.empty()) {
+    Pool = From.m_Others;
+  }
   if (Pool.empty()) {
     Pool = From.m_SetAside;
   }
--- a/tests/unit-probed.cpp
+++ b/tests/unit-probed.cpp
@@ -261,6 +261,36 @@
   EXPECT_LE(Service.probes(), 40U * 11U);
 }
 
+TEST(Probed, AVmUsesItsOwnPartOfALargeService) {
+  constexpr std::size_t Servers = 200;
+  Desk Service(Servers, [](ServiceSettings &Settings) {
+    for (std::size_t Index = 0; Index < Servers; ++Index) {
+      Settings.m_Servers[Index].m_DataCenter = Index % 4 == 0 ? "dc" : "elsewhere";
+    }
+  });
+  for (int Round = 0; Round < 600; ++Round) {
+    Service.arrive(Desk::Look);
+    Service.advance(milliseconds(30));
+  }
+  const auto Used = std::count_if(Service.m_Servers.begin(), Service.m_Servers.end(),
+                                  [](const auto &Entry) { return !Entry.second.m_Got.empty(); });
+  EXPECT_LE(Used, static_cast<long>(PreferredNear + PreferredFar));
+  EXPECT_GE(Used, static_cast<long>(PreferredNear));
+  // When its part is of no use, the others are.
+  for (std::size_t Index = 0; Index < Servers; ++Index) {
+    if (!Service.server(Index).m_Got.empty()) {
+      Service.server(Index).m_AnswersProbes = false;
+    }
+  }
+  std::size_t Answered = 0;
+  for (int Round = 0; Round < 100; ++Round) {
+    const RequestId Request = Service.arrive(Desk::Look);
+    Service.advance(milliseconds(200));
+    Answered += Service.isAnswered(Request) ? 1 : 0;
+  }
+  EXPECT_GE(Answered, 95U);
+}
+
 TEST(Probed, ADrainingServerGetsNothingNew) {
   Desk Service(3);
   Service.m_Settings.m_Servers[0].m_Leaving = true;
