A VM tells only what no other has told; few VMs of a large fleet wait for the first read

When a fleet starts, VMs listed the servers at different offsets, met gaps, read again, and each told all others everything it had read. Also several read in the time that the first one's word takes.

--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -47,15 +47,28 @@
 class Follower {
 public:
   /// Share of the bound after which a stream is read again.
-  static constexpr double PeriodShare = 0.35;
+  static constexpr double PeriodShare = 0.3;
   /// Spread of the reads of different VMs, as a share of the bound.
-  static constexpr double SpreadShare = 0.15;
+  static constexpr double SpreadShare = 0.25;
+  /// VMs of a fleet that wait for less than half of the spread, on average. With more, several would
+  /// read before the first one's word reaches them; with fewer, often none would.
+  static constexpr double EarlyVms = 4.0;
   /// Pauses after failed reads.
   static constexpr Duration ShortestPause = std::chrono::milliseconds(150);
   static constexpr Duration LongestPause = std::chrono::milliseconds(800);
 
   explicit Follower(FollowerOptions Options);
 
+  /// \brief VMs of the fleet, with this one.
+  void setFleetSize(std::size_t Vms) { m_FleetSize = Vms; }
+
+  /// \brief The part of a range that no VM is known to have told: other VMs need no more.
+  /// \return the offset from which on it is new; the range's end when nothing is
+  std::uint64_t untoldFrom(const RecordRange &Range) const;
+
+  /// \brief A range was told to all others.
+  void told(const RecordRange &Range);
+
   /// \brief The stream to read now, if any; the caller then reports how that ended.
   std::optional<Stream> nextRead(TimePoint Now);
 
@@ -96,6 +109,8 @@
     std::optional<std::uint64_t> m_Position;
     TimePoint m_CurrentAt{};
     TimePoint m_ReadAt{};
+    /// End of what some VM told all others.
+    std::uint64_t m_ToldTo = 0;
   };
 
   StreamState &state(Stream Which) { return m_Streams[static_cast<std::size_t>(Which)]; }
@@ -109,6 +124,7 @@
   std::array<StreamState, StreamCount> m_Streams;
   std::optional<Stream> m_Reading;
   std::uint32_t m_Failures = 0;
+  std::size_t m_FleetSize = 1;
   /// No read before then.
   TimePoint m_PausedUntil{};
 };
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -65,6 +65,7 @@
 
 bool Follower::heard(const RecordRange &Range, TimePoint /*Now*/) {
   StreamState &Value = state(Range.m_Stream);
+  Value.m_ToldTo = std::max(Value.m_ToldTo, Range.m_To);
   if (!Value.m_Position || *Value.m_Position < Range.m_From) {
     // Something in between is missing here: it is read from the store.
     Value.m_ReadAt = std::min(Value.m_ReadAt, Range.m_AskedAt);
@@ -88,9 +89,21 @@
   state(Which).m_ReadAt = std::min(state(Which).m_ReadAt, Now);
 }
 
+std::uint64_t Follower::untoldFrom(const RecordRange &Range) const {
+  return std::clamp(state(Range.m_Stream).m_ToldTo, Range.m_From, Range.m_To);
+}
+
+void Follower::told(const RecordRange &Range) {
+  StreamState &Value = state(Range.m_Stream);
+  Value.m_ToldTo = std::max(Value.m_ToldTo, Range.m_To);
+}
+
 void Follower::schedule(StreamState &Value) {
-  std::uniform_real_distribution<double> Spread(0.0, SpreadShare);
-  const auto Wait = m_Options.m_Bound * (PeriodShare + Spread(m_Random));
+  constexpr double Middle = SpreadShare / 2;
+  std::bernoulli_distribution IsEarly(std::min(EarlyVms / static_cast<double>(m_FleetSize), 1.0));
+  std::uniform_real_distribution<double> Spread(0.0, Middle);
+  const double Late = IsEarly(m_Random) ? 0.0 : Middle;
+  const auto Wait = m_Options.m_Bound * (PeriodShare + Late + Spread(m_Random));
   Value.m_ReadAt = Value.m_CurrentAt + std::chrono::duration_cast<Duration>(Wait);
 }
 
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -51,6 +51,7 @@
     putInForce();
   }
   greet();
+  m_Follower.setFleetSize(m_Peers.fleetSize());
   observe::flushLog();
   if (hasFleetChanged()) {
     putInForce();
@@ -188,12 +189,23 @@
 
 void FleetClient::tellNews(const fleet::RecordRange &Range, const std::vector<bool> &Keeps,
                            TimePoint Now) {
+  // Only what no VM has told: many read at once when a fleet starts.
+  fleet::RecordRange Rest{.m_Stream = Range.m_Stream,
+                          .m_From = m_Follower.untoldFrom(Range),
+                          .m_To = Range.m_To,
+                          .m_AskedAt = Range.m_AskedAt};
+  const auto Skipped = std::min<std::size_t>(Rest.m_From - Range.m_From, Range.m_Records.size());
+  Rest.m_Records.assign(Range.m_Records.begin() + static_cast<std::ptrdiff_t>(Skipped),
+                        Range.m_Records.end());
   const auto Flags = std::make_unique<bool[]>(Keeps.size());
   std::copy(Keeps.begin(), Keeps.end(), Flags.get());
-  for (const fleet::StoreNews &Part : fleet::splitNews(Range, {Flags.get(), Keeps.size()},
-                                                       Now - Range.m_AskedAt, Now < m_LapseUntil)) {
+  const std::span<const bool> Kept(Flags.get(), Keeps.size());
+  for (const fleet::StoreNews &Part :
+       fleet::splitNews(Rest, Kept.subspan(std::min(Skipped, Kept.size())), Now - Range.m_AskedAt,
+                        Now < m_LapseUntil)) {
     sendToAll(Part);
   }
+  m_Follower.told(Rest);
   m_Peers.toldAll(Now);
 }
 
