Long ranges are read from the store by each VM, not told

Now a range of more than three datagrams is only announced. Ruled out before: hellos and marks of failure (small).

--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -13,6 +13,9 @@
 
 /// A failure of one server is told at most once in this time.
 constexpr Duration TellPause = std::chrono::milliseconds(150);
+/// Datagrams of one range at most: a longer one is read from the store by every VM, which costs less
+/// than the links between data centres.
+constexpr std::size_t MostToldParts = 3;
 /// Servers whose failures are remembered at most.
 constexpr std::size_t MostTold = 4096;
 /// Failed reads after which another VM is asked for what may be missing.
@@ -200,9 +203,19 @@
   const auto Flags = std::make_unique<bool[]>(Keeps.size());
   std::copy(Keeps.begin(), Keeps.end(), Flags.get());
   const std::span<const bool> Kept(Flags.get(), Keeps.size());
-  for (const fleet::StoreNews &Part :
-       fleet::splitNews(Rest, Kept.subspan(std::min(Skipped, Kept.size())), Now - Range.m_AskedAt,
-                        Now < m_LapseUntil)) {
+  std::vector<fleet::StoreNews> Parts =
+      fleet::splitNews(Rest, Kept.subspan(std::min(Skipped, Kept.size())), Now - Range.m_AskedAt,
+                       Now < m_LapseUntil);
+  if (Parts.size() > MostToldParts) {
+    Parts.resize(1);
+    Parts[0] = {.m_Stream = Rest.m_Stream,
+                .m_From = Rest.m_From,
+                .m_To = Rest.m_To,
+                .m_Age = Now - Range.m_AskedAt,
+                .m_MayHaveLapsed = Now < m_LapseUntil,
+                .m_IsPartial = true};
+  }
+  for (const fleet::StoreNews &Part : Parts) {
     sendToAll(Part);
   }
   m_Follower.told(Rest);
@@ -254,6 +267,7 @@
                                  .m_To = Message.m_To,
                                  .m_AskedAt = Now - Message.m_Age};
   if (Message.m_IsPartial) {
+    m_Follower.told(Range);
     m_Follower.readSoon(Message.m_Stream, Now);
   } else if (m_Follower.heard(Range, Now)) {
     std::vector<bool> Ignored;
