Removals are held back only when records may have lapsed; a lone VM greets its seeds; settings are reloaded

Found by a test of the reload: a VM that knows nobody put off its greeting with each read, so that after a cut it never found the others again. Now a VM that was current all the while refutes the suspicion.

--- a/include/vanillahill/fleet/catalog.hpp
+++ b/include/vanillahill/fleet/catalog.hpp
@@ -2,6 +2,7 @@
 /// What a store tells of a fleet: the configuration and the backend servers, as one VM knows them.
 #pragma once
 
+#include "vanillahill/fleet/lapse_watch.hpp"
 #include "vanillahill/settings/settings.hpp"
 
 #include <cstdint>
@@ -81,12 +82,11 @@
 /// Holds the newest configuration and the servers, and merges both into settings. Not thread safe.
 class Catalog {
 public:
-  /// Lapsed entries of living servers are back within this time after an outage of the store; one
-  /// still missing then is gone.
-  static constexpr Duration LapseGrace = std::chrono::seconds(2);
-
   explicit Catalog(CatalogOptions Options = {}) : m_Options(std::move(Options)) {}
 
+  /// \brief Replaces the options; they count from the next settings() on.
+  void setOptions(CatalogOptions Options) { m_Options = std::move(Options); }
+
   /// \brief Takes a configuration.
   /// \return false when it is not newer than the one in force
   bool apply(Configuration Next);
@@ -104,9 +104,11 @@
   /// \return whether the settings change now
   bool keepOnly(const std::set<std::string, std::less<>> &Ids, TimePoint Now);
 
-  /// \brief The store was out of reach until now: records may have lapsed meanwhile, so removals
-  /// count only after LapseGrace.
-  void storeReturned(TimePoint Now) { m_LapseUntil = Now + LapseGrace; }
+  /// \brief Records may have lapsed: removals count only after LapseWatch::Grace.
+  void holdRemovals(TimePoint Now) { m_LapseUntil = Now + LapseWatch::Grace; }
+
+  /// \brief No record has lapsed: removals that were held back count at the next tick().
+  void releaseRemovals(TimePoint Now);
 
   /// \brief Removes the servers whose records did not come back.
   /// \return whether the settings change
--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -50,8 +50,8 @@
   static constexpr double PeriodShare = 0.3;
   /// Spread of the reads of different VMs, as a share of the bound.
   static constexpr double SpreadShare = 0.25;
-  /// VMs of a fleet that wait for less than half of the spread, on average. With more, several would
-  /// read before the first one's word reaches them; with fewer, often none would.
+  /// VMs of a fleet that wait for less than half of the spread, on average. With more, several
+  /// would read before the first one's word reaches them; with fewer, often none would.
   static constexpr double EarlyVms = 4.0;
   /// Pauses after failed reads.
   static constexpr Duration ShortestPause = std::chrono::milliseconds(150);
@@ -59,6 +59,9 @@
 
   explicit Follower(FollowerOptions Options);
 
+  /// \brief Replaces the bound within which everything must be known.
+  void setBound(Duration Bound) { m_Options.m_Bound = Bound; }
+
   /// \brief VMs of the fleet, with this one.
   void setFleetSize(std::size_t Vms) { m_FleetSize = Vms; }
 
@@ -101,13 +104,13 @@
   /// \brief Failed reads in a row.
   std::uint32_t failures() const { return m_Failures; }
 
-  /// \brief When a stream was last known to be up to date.
-  TimePoint currentAt(Stream Which) const { return state(Which).m_CurrentAt; }
+  /// \brief When a stream was last known to be up to date; nothing before the first time.
+  std::optional<TimePoint> currentAt(Stream Which) const { return state(Which).m_CurrentAt; }
 
 private:
   struct StreamState {
     std::optional<std::uint64_t> m_Position;
-    TimePoint m_CurrentAt{};
+    std::optional<TimePoint> m_CurrentAt;
     TimePoint m_ReadAt{};
     /// End of what some VM told all others.
     std::uint64_t m_ToldTo = 0;
--- a/include/vanillahill/fleet/news.hpp
+++ b/include/vanillahill/fleet/news.hpp
@@ -37,6 +37,8 @@
   Duration m_Age{};
   /// Records may have lapsed while the store was away.
   bool m_MayHaveLapsed = false;
+  /// The sender was current for long enough to have noticed an outage of the store.
+  bool m_IsSteady = false;
   /// Records that say something new; others in the range do not matter.
   std::vector<Record> m_Records;
   /// The range holds records too long to be told: they must be read.
@@ -84,10 +86,11 @@
 Result<News> decodeNews(std::string_view Datagram);
 
 /// \brief Splits a range into messages that fit into one datagram each.
-/// \param Range with the offset of each record, as read
+/// \param Range every record of the range
 /// \param Keeps tells which records say something new, in their order
+/// \param Common what all messages say beside their part of the range
 std::vector<StoreNews> splitNews(const RecordRange &Range, std::span<const bool> Keeps,
-                                 Duration Age, bool MayHaveLapsed);
+                                 const StoreNews &Common);
 
 /// \brief Writes a snapshot in pieces that fit into one datagram each.
 std::vector<SnapshotPiece> cutSnapshot(std::uint64_t Number, const Snapshot &Whole);
--- a/include/vanillahill/fleet/peers.hpp
+++ b/include/vanillahill/fleet/peers.hpp
@@ -33,6 +33,9 @@
 
   explicit Peers(PeersOptions Options) : m_Options(std::move(Options)) {}
 
+  /// \brief Replaces the VMs that may know others.
+  void setSeeds(std::vector<std::string> SeedIps) { m_Options.m_SeedIps = std::move(SeedIps); }
+
   /// \brief A message came from a VM.
   /// \return whether it was not known before
   bool heard(std::string_view Ip, TimePoint Now);
@@ -41,8 +44,12 @@
   /// \return those that were not known here, to be greeted
   std::vector<std::string> learn(const std::vector<std::string> &Ips, TimePoint Now);
 
-  /// \brief A message was sent to every VM: they know that this one is alive.
-  void toldAll(TimePoint Now) { m_LastHello = Now; }
+  /// \brief A message was sent to every known VM: they need no greeting for a period.
+  void toldAll(TimePoint Now) {
+    if (!isAlone()) {
+      m_LastHello = Now;
+    }
+  }
 
   /// \brief The VMs to greet now. Forgets silent ones.
   std::vector<std::string> dueHellos(TimePoint Now);
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -5,6 +5,7 @@
 
 #include "vanillahill/fleet/catalog.hpp"
 #include "vanillahill/fleet/follower.hpp"
+#include "vanillahill/fleet/lapse_watch.hpp"
 #include "vanillahill/fleet/news.hpp"
 #include "vanillahill/fleet/peers.hpp"
 #include "vanillahill/net/detail/datagrams.hpp"
@@ -60,6 +61,9 @@
   void start();
   void close();
 
+  /// \brief Puts changed options in force: budgets, the bound of the follower, the seeds.
+  void reconfigure(fleet::CatalogOptions Catalog, Duration Bound, std::vector<std::string> SeedIps);
+
   /// \brief Tells the other VMs that a backend server failed here.
   void tellServerFailed(ServerId Server);
 
@@ -77,6 +81,7 @@
   void arm();
   void onRead(fleet::Stream Which, std::optional<std::uint64_t> From, TimePoint AskedAt,
               StoreResult Result);
+  void noteCurrent(std::optional<TimePoint> Previous, TimePoint Now);
   bool take(fleet::Stream Which, const StoreRead &Read, std::vector<bool> &Keeps, TimePoint Now);
   bool takeConfiguration(const std::string &Text);
   bool takeServer(const fleet::Record &Entry, TimePoint Now);
@@ -103,6 +108,7 @@
   asio::steady_timer m_Timer;
   fleet::Catalog m_Catalog;
   fleet::Follower m_Follower;
+  fleet::LapseWatch m_Lapse;
   fleet::Peers m_Peers;
   fleet::PieceCollector m_Pieces;
   /// The configuration in force and the newest record of each server, as the store gave them, for
@@ -111,8 +117,6 @@
   std::map<std::string, std::string, std::less<>> m_ServerTexts;
   std::uint64_t m_LastSnapshot = 0;
   std::mt19937_64 m_Random;
-  /// Removals count only after a grace until then; told to other VMs.
-  TimePoint m_LapseUntil{};
   /// Fleet size that the settings in force were made for.
   std::size_t m_SettingsFleetSize = 1;
   /// When a failure of a server was last told.
--- a/src/fleet/catalog.cpp
+++ b/src/fleet/catalog.cpp
@@ -115,6 +115,13 @@
   return Changed;
 }
 
+void Catalog::releaseRemovals(TimePoint Now) {
+  m_LapseUntil = Now;
+  for (auto &[Id, Due] : m_Lapsed) {
+    Due = Now;
+  }
+}
+
 bool Catalog::tick(TimePoint Now) {
   std::vector<std::string> Gone;
   for (const auto &[Id, Due] : m_Lapsed) {
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -41,7 +41,7 @@
   m_Reading.reset();
   StreamState &Value = state(Which);
   Value.m_Position = std::max(Value.m_Position.value_or(0), To);
-  Value.m_CurrentAt = std::max(Value.m_CurrentAt, AskedAt);
+  Value.m_CurrentAt = std::max(Value.m_CurrentAt.value_or(AskedAt), AskedAt);
   schedule(Value);
   const bool WasAway = m_Failures > 0;
   m_Failures = 0;
@@ -73,7 +73,7 @@
   }
   const bool IsNew = Range.m_To > *Value.m_Position;
   Value.m_Position = std::max(*Value.m_Position, Range.m_To);
-  if (Range.m_AskedAt > Value.m_CurrentAt) {
+  if (!Value.m_CurrentAt || Range.m_AskedAt > *Value.m_CurrentAt) {
     Value.m_CurrentAt = Range.m_AskedAt;
     schedule(Value);
   }
@@ -104,7 +104,7 @@
   std::uniform_real_distribution<double> Spread(0.0, Middle);
   const double Late = IsEarly(m_Random) ? 0.0 : Middle;
   const auto Wait = m_Options.m_Bound * (PeriodShare + Late + Spread(m_Random));
-  Value.m_ReadAt = Value.m_CurrentAt + std::chrono::duration_cast<Duration>(Wait);
+  Value.m_ReadAt = *Value.m_CurrentAt + std::chrono::duration_cast<Duration>(Wait);
 }
 
 } // namespace vanillahill::fleet
--- a/src/fleet/news.cpp
+++ b/src/fleet/news.cpp
@@ -18,8 +18,6 @@
 constexpr std::size_t PieceBytes = MostDatagramBytes - EnvelopeBytes;
 /// Pieces of one configuration at most.
 constexpr std::uint32_t MostPieces = 65536;
-/// IPs in one datagram at most.
-constexpr std::size_t MostIps = 60;
 
 Json binary(std::string_view Bytes) {
   return Json::binary(std::vector<std::uint8_t>(Bytes.begin(), Bytes.end()));
@@ -67,7 +65,8 @@
 Json body(const StoreNews &Message) {
   return Json::array({static_cast<int>(Message.m_Stream), Message.m_From, Message.m_To,
                       std::chrono::duration_cast<std::chrono::microseconds>(Message.m_Age).count(),
-                      Message.m_MayHaveLapsed, Message.m_IsPartial, listOf(Message.m_Records)});
+                      Message.m_MayHaveLapsed, Message.m_IsSteady, Message.m_IsPartial,
+                      listOf(Message.m_Records)});
 }
 
 Json body(const ServerFailed &Message) { return Json::array({raw(Message.m_Server)}); }
@@ -91,8 +90,9 @@
                     .m_To = Fields.at(2).get<std::uint64_t>(),
                     .m_Age = std::chrono::microseconds(AgeMicros),
                     .m_MayHaveLapsed = Fields.at(4).get<bool>(),
-                    .m_Records = recordsOf(Fields.at(6)),
-                    .m_IsPartial = Fields.at(5).get<bool>()};
+                    .m_IsSteady = Fields.at(5).get<bool>(),
+                    .m_Records = recordsOf(Fields.at(7)),
+                    .m_IsPartial = Fields.at(6).get<bool>()};
   if (Message.m_From > Message.m_To) {
     throw std::invalid_argument("range is reversed");
   }
@@ -154,14 +154,13 @@
 }
 
 std::vector<StoreNews> splitNews(const RecordRange &Range, std::span<const bool> Keeps,
-                                 Duration Age, bool MayHaveLapsed) {
+                                 const StoreNews &Common) {
   std::vector<StoreNews> Parts;
   const auto Begin = [&](std::uint64_t From) {
-    Parts.push_back({.m_Stream = Range.m_Stream,
-                     .m_From = From,
-                     .m_To = Range.m_To,
-                     .m_Age = Age,
-                     .m_MayHaveLapsed = MayHaveLapsed});
+    Parts.push_back(Common);
+    Parts.back().m_Stream = Range.m_Stream;
+    Parts.back().m_From = From;
+    Parts.back().m_To = Range.m_To;
   };
   Begin(Range.m_From);
   std::size_t Bytes = EnvelopeBytes;
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -13,8 +13,8 @@
 
 /// A failure of one server is told at most once in this time.
 constexpr Duration TellPause = std::chrono::milliseconds(150);
-/// Datagrams of one range at most: a longer one is read from the store by every VM, which costs less
-/// than the links between data centres.
+/// Datagrams of one range at most: a longer one is read from the store by every VM, which costs
+/// less than the links between data centres.
 constexpr std::size_t MostToldParts = 3;
 /// Servers whose failures are remembered at most.
 constexpr std::size_t MostTold = 4096;
@@ -31,7 +31,8 @@
                          FleetClientOptions Options)
     : m_Store(std::move(Store)), m_Link(std::move(Link)), m_Options(std::move(Options)),
       m_Timer(Io), m_Catalog(m_Options.m_Catalog), m_Follower(m_Options.m_Follower),
-      m_Peers(m_Options.m_Peers), m_Random(m_Options.m_Follower.m_Seed) {}
+      m_Lapse(m_Options.m_Follower.m_Bound), m_Peers(m_Options.m_Peers),
+      m_Random(m_Options.m_Follower.m_Seed) {}
 
 void FleetClient::start() {
   m_Link->start([Self = weak_from_this()](std::string_view Ip, std::string_view Datagram) {
@@ -48,6 +49,15 @@
   m_Link->close();
 }
 
+void FleetClient::reconfigure(fleet::CatalogOptions Catalog, Duration Bound,
+                              std::vector<std::string> SeedIps) {
+  m_Catalog.setOptions(std::move(Catalog));
+  m_Follower.setBound(Bound);
+  m_Lapse.setBound(Bound);
+  m_Peers.setSeeds(std::move(SeedIps));
+  putInForce();
+}
+
 void FleetClient::step() {
   const auto Now = SystemClock().now();
   if (m_Catalog.tick(Now)) {
@@ -97,11 +107,11 @@
     step();
     return;
   }
+  const auto Previous = m_Follower.currentAt(Which);
   if (m_Follower.readSucceeded(Which, Result->m_To, AskedAt, Now)) {
-    m_LapseUntil = Now + fleet::Catalog::LapseGrace;
-    m_Catalog.storeReturned(Now);
     observe::log(LogLevel::Info, "store_regained", {});
   }
+  noteCurrent(Previous, Now);
   std::vector<bool> Keeps;
   const bool Changed = take(Which, *Result, Keeps, Now);
   const bool IsRange =
@@ -122,6 +132,15 @@
   step();
 }
 
+/// Notes that this VM knows what the store holds, by its own read or another VM's word.
+void FleetClient::noteCurrent(std::optional<TimePoint> Previous, TimePoint Now) {
+  if (m_Lapse.becameCurrent(Previous, Now)) {
+    m_Catalog.holdRemovals(Now);
+    observe::log(LogLevel::Info, "removals_held_back",
+                 {{"behind_ms", std::to_string(toMillis(Now - *Previous))}});
+  }
+}
+
 bool FleetClient::take(Stream Which, const StoreRead &Read, std::vector<bool> &Keeps,
                        TimePoint Now) {
   bool Changed = false;
@@ -132,7 +151,7 @@
       Listed.insert(Entry.m_Key);
       IsNew = takeServer(Entry, Now);
       // A removal may be held back here and not elsewhere, and the other way round.
-      Keeps.push_back(IsNew || !Entry.m_Value || Now < m_LapseUntil);
+      Keeps.push_back(IsNew || !Entry.m_Value || m_Lapse.mayHaveLapsed(Now));
     } else {
       const bool IsOurs = Entry.m_Key == m_Store.m_ConfigurationKey && Entry.m_Value;
       IsNew = IsOurs && takeConfiguration(*Entry.m_Value);
@@ -203,17 +222,16 @@
   const auto Flags = std::make_unique<bool[]>(Keeps.size());
   std::copy(Keeps.begin(), Keeps.end(), Flags.get());
   const std::span<const bool> Kept(Flags.get(), Keeps.size());
+  const fleet::StoreNews Common{.m_Age = Now - Range.m_AskedAt,
+                                .m_MayHaveLapsed = m_Lapse.mayHaveLapsed(Now),
+                                .m_IsSteady = m_Lapse.isSteady(Now)};
   std::vector<fleet::StoreNews> Parts =
-      fleet::splitNews(Rest, Kept.subspan(std::min(Skipped, Kept.size())), Now - Range.m_AskedAt,
-                       Now < m_LapseUntil);
+      fleet::splitNews(Rest, Kept.subspan(std::min(Skipped, Kept.size())), Common);
   if (Parts.size() > MostToldParts) {
     Parts.resize(1);
-    Parts[0] = {.m_Stream = Rest.m_Stream,
-                .m_From = Rest.m_From,
-                .m_To = Rest.m_To,
-                .m_Age = Now - Range.m_AskedAt,
-                .m_MayHaveLapsed = Now < m_LapseUntil,
-                .m_IsPartial = true};
+    Parts[0].m_To = Rest.m_To;
+    Parts[0].m_Records.clear();
+    Parts[0].m_IsPartial = true;
   }
   for (const fleet::StoreNews &Part : Parts) {
     sendToAll(Part);
@@ -258,18 +276,22 @@
 }
 
 void FleetClient::on(std::string_view /*Ip*/, const fleet::StoreNews &Message, TimePoint Now) {
-  if (Message.m_MayHaveLapsed && Now >= m_LapseUntil) {
-    m_LapseUntil = Now + fleet::Catalog::LapseGrace;
-    m_Catalog.storeReturned(Now);
-  }
   const fleet::RecordRange Range{.m_Stream = Message.m_Stream,
                                  .m_From = Message.m_From,
                                  .m_To = Message.m_To,
                                  .m_AskedAt = Now - Message.m_Age};
+  const auto Previous = m_Follower.currentAt(Message.m_Stream);
+  const bool IsNew = !Message.m_IsPartial && m_Follower.heard(Range, Now);
+  if (m_Follower.currentAt(Message.m_Stream) != Previous) {
+    noteCurrent(Previous, Now);
+  }
+  if (m_Lapse.heard(Message.m_IsSteady, Message.m_MayHaveLapsed, Now)) {
+    m_Catalog.releaseRemovals(Now);
+  }
   if (Message.m_IsPartial) {
     m_Follower.told(Range);
     m_Follower.readSoon(Message.m_Stream, Now);
-  } else if (m_Follower.heard(Range, Now)) {
+  } else if (IsNew) {
     std::vector<bool> Ignored;
     if (take(Message.m_Stream, {.m_To = Message.m_To, .m_Records = Message.m_Records}, Ignored,
              Now)) {
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -4,6 +4,8 @@
 
 #include <xxhash.h>
 
+#include <cmath>
+
 namespace vanillahill::observe {
 
 namespace {
@@ -17,7 +19,7 @@
 
 std::string hundredths(double Value) {
   constexpr double Hundred = 100.0;
-  const auto Rounded = static_cast<std::int64_t>(Value * Hundred + 0.5);
+  const auto Rounded = std::llround(Value * Hundred);
   const std::string Digits = std::to_string(Rounded % 100);
   return std::to_string(Rounded / 100) + (Digits.size() < 2 ? ".0" : ".") + Digits;
 }
--- a/src/observe/line_sink.hpp
+++ b/src/observe/line_sink.hpp
@@ -22,7 +22,7 @@
 
 private:
   /// Bytes that wait at most.
-  static constexpr std::size_t MostWaiting = 256 * 1024;
+  static constexpr std::size_t MostWaiting = 256UL * 1024;
   /// Lines are written once this many bytes wait, or after this time.
   static constexpr std::size_t WriteBytes = 4096;
   static constexpr std::chrono::milliseconds WritePeriod{200};
--- a/tests/probed_desk.hpp
+++ b/tests/probed_desk.hpp
@@ -47,7 +47,7 @@
 /// Drives one dispatcher. Probes take two milliseconds.
 class Desk {
 public:
-  explicit Desk(std::size_t Servers, std::function<void(ServiceSettings &)> Change = {}) {
+  explicit Desk(std::size_t Servers, const std::function<void(ServiceSettings &)> &Change = {}) {
     m_Settings = {.m_Id = ServiceId{1}, .m_Name = "desk"};
     m_Settings.m_Kinds = {{.m_Id = Look,
                            .m_Name = "look",
--- a/tests/unit-catalog.cpp
+++ b/tests/unit-catalog.cpp
@@ -124,18 +124,29 @@
   Known.apply(entry("back", 1), Start);
   Known.apply(entry("lost", 1), Start);
   Known.apply(entry("drained", 1, true), Start);
-  Known.storeReturned(Start);
+  Known.holdRemovals(Start);
   EXPECT_FALSE(Known.remove("back", Start));
   EXPECT_FALSE(Known.remove("lost", Start));
   EXPECT_TRUE(Known.remove("drained", Start));
   EXPECT_EQ(serversOf(Known), 2U);
   Known.apply(entry("back", 2), Start + seconds(1));
   EXPECT_FALSE(Known.tick(Start + seconds(1)));
-  EXPECT_EQ(Known.nextTimer(), Start + Catalog::LapseGrace);
-  EXPECT_TRUE(Known.tick(Start + Catalog::LapseGrace));
+  EXPECT_EQ(Known.nextTimer(), Start + LapseWatch::Grace);
+  EXPECT_TRUE(Known.tick(Start + LapseWatch::Grace));
   EXPECT_EQ(serversOf(Known), 1U);
   EXPECT_EQ(Known.nextTimer(), TimePoint::max());
-  EXPECT_TRUE(Known.remove("back", Start + Catalog::LapseGrace));
+  EXPECT_TRUE(Known.remove("back", Start + LapseWatch::Grace));
+}
+
+TEST(Catalog, RemovalsCountAtOnceWhenNothingLapsed) {
+  Catalog Known;
+  Known.apply(configuration(1));
+  Known.apply(entry("s1", 1), Start);
+  Known.holdRemovals(Start);
+  EXPECT_FALSE(Known.remove("s1", Start));
+  Known.releaseRemovals(Start + milliseconds(100));
+  EXPECT_TRUE(Known.tick(Start + milliseconds(100)));
+  EXPECT_EQ(serversOf(Known), 0U);
 }
 
 TEST(Catalog, AListingRemovesWhatItLeavesOut) {
--- a/tests/unit-follower.cpp
+++ b/tests/unit-follower.cpp
@@ -159,7 +159,7 @@
   void note(TimePoint Now) {
     for (const Follower &Value : m_Vms) {
       for (const Stream Which : {Stream::Configuration, Stream::Servers}) {
-        m_Oldest = std::max(m_Oldest, Now - Value.currentAt(Which));
+        m_Oldest = std::max(m_Oldest, Now - Value.currentAt(Which).value_or(Start));
       }
     }
   }
--- a/tests/unit-news.cpp
+++ b/tests/unit-news.cpp
@@ -1,3 +1,4 @@
+#include "vanillahill/fleet/lapse_watch.hpp"
 #include "vanillahill/fleet/news.hpp"
 #include "vanillahill/fleet/peers.hpp"
 
@@ -24,6 +25,7 @@
                                              .m_To = 9,
                                              .m_Age = milliseconds(3),
                                              .m_MayHaveLapsed = true,
+                                             .m_IsSteady = true,
                                              .m_Records = {{"a", std::string("\0x", 2)}, {"b", {}}},
                                              .m_IsPartial = true});
   EXPECT_EQ(Told.m_Stream, Stream::Servers);
@@ -32,6 +34,7 @@
   EXPECT_EQ(Told.m_Age, milliseconds(3));
   EXPECT_TRUE(Told.m_MayHaveLapsed);
   EXPECT_TRUE(Told.m_IsPartial);
+  EXPECT_TRUE(Told.m_IsSteady);
   ASSERT_EQ(Told.m_Records.size(), 2U);
   EXPECT_EQ(Told.m_Records[0].m_Value, std::string("\0x", 2));
   EXPECT_FALSE(Told.m_Records[1].m_Value);
@@ -69,7 +72,7 @@
       Kept.push_back(std::to_string(Index));
     }
   }
-  const auto Parts = splitNews(Range, {Keeps.get(), Sizes.size()}, milliseconds(1), false);
+  const auto Parts = splitNews(Range, {Keeps.get(), Sizes.size()}, {.m_Age = milliseconds(1)});
   std::uint64_t Next = Range.m_From;
   std::vector<std::string> Told;
   bool AnyPartial = false;
@@ -124,6 +127,46 @@
   EXPECT_FALSE(Collector.take("z", {.m_Number = 3, .m_Index = 0, .m_Count = 1, .m_Bytes = "?"}));
 }
 
+TEST(Peers, AVmThatReadsOftenStillAsksTheSeedsWhileItIsAlone) {
+  const TimePoint Start = TimePoint{} + std::chrono::hours(1);
+  Peers Known({.m_SelfIp = "10.0.0.1", .m_SeedIps = {"10.0.0.2"}});
+  std::size_t Asked = 0;
+  for (TimePoint Now = Start; Now < Start + seconds(4); Now += milliseconds(100)) {
+    Known.toldAll(Now);
+    Asked += Known.dueHellos(Now).size();
+  }
+  EXPECT_GE(Asked, 8U);
+}
+
+TEST(LapseWatch, OneVmCutOffLearnsThatNothingLapsed) {
+  const TimePoint Start = TimePoint{} + std::chrono::hours(1);
+  LapseWatch Watch(seconds(2));
+  EXPECT_FALSE(Watch.becameCurrent(std::nullopt, Start));
+  EXPECT_FALSE(Watch.becameCurrent(Start, Start + seconds(1)));
+  const TimePoint Back = Start + seconds(9);
+  EXPECT_TRUE(Watch.becameCurrent(Start + seconds(1), Back));
+  EXPECT_TRUE(Watch.mayHaveLapsed(Back));
+  EXPECT_FALSE(Watch.isSteady(Back + seconds(1)));
+  EXPECT_FALSE(Watch.heard(false, false, Back)) << "a VM that has just started cannot tell";
+  EXPECT_FALSE(Watch.heard(true, true, Back));
+  EXPECT_TRUE(Watch.heard(true, false, Back));
+  EXPECT_FALSE(Watch.mayHaveLapsed(Back));
+}
+
+TEST(LapseWatch, AfterAnOutageNobodyRefutesAndTheGraceEnds) {
+  const TimePoint Start = TimePoint{} + std::chrono::hours(1);
+  LapseWatch One(seconds(2));
+  LapseWatch Two(seconds(2));
+  One.becameCurrent(std::nullopt, Start);
+  Two.becameCurrent(std::nullopt, Start);
+  const TimePoint Back = Start + seconds(20);
+  One.becameCurrent(Start, Back);
+  Two.becameCurrent(Start, Back);
+  EXPECT_FALSE(One.heard(Two.isSteady(Back), Two.mayHaveLapsed(Back), Back));
+  EXPECT_TRUE(One.mayHaveLapsed(Back + seconds(1)));
+  EXPECT_FALSE(One.mayHaveLapsed(Back + LapseWatch::Grace));
+}
+
 TEST(Peers, LearnsFromSeedsAndForgetsTheSilent) {
   const TimePoint Start = TimePoint{} + std::chrono::hours(1);
   Peers Known({.m_SelfIp = "10.0.0.1", .m_SeedIps = {"10.0.0.1", "10.0.0.2"}});
--- a/tests/unit-platform-decode.cpp
+++ b/tests/unit-platform-decode.cpp
@@ -87,18 +87,18 @@
 }
 
 TEST(PlatformDecode, RefusesAConfigurationThatCannotBeFollowed) {
-  const auto refused = [](std::string_view From, std::string_view To) {
+  const auto Refused = [](std::string_view From, std::string_view To) {
     return !decodeConfiguration(replaced(ConfigurationText, From, To)).has_value();
   };
-  EXPECT_TRUE(refused("\"r41\"", "\"41\""));
-  EXPECT_TRUE(refused("\"r41\"", "\"r-1\""));
-  EXPECT_TRUE(refused("\"/a/\"", "\"/a\""));
-  EXPECT_TRUE(refused("\"service\": \"s1\", \"max", "\"service\": \"s9\", \"max"));
-  EXPECT_TRUE(refused("\"750ms\"", "\"-750ms\""));
-  EXPECT_TRUE(refused("\"weight\": 90", "\"weight\": -90"));
-  EXPECT_TRUE(refused("\"priority\": 1", "\"priority\": 1e300"));
-  EXPECT_TRUE(refused("\"max_attempts\": 3", "\"max_attempts\": 0"));
-  EXPECT_TRUE(refused("\"resources\": [", "\"resources\": 7, \"x\": ["));
+  EXPECT_TRUE(Refused("\"r41\"", "\"41\""));
+  EXPECT_TRUE(Refused("\"r41\"", "\"r-1\""));
+  EXPECT_TRUE(Refused("\"/a/\"", "\"/a\""));
+  EXPECT_TRUE(Refused("\"service\": \"s1\", \"max", "\"service\": \"s9\", \"max"));
+  EXPECT_TRUE(Refused("\"750ms\"", "\"-750ms\""));
+  EXPECT_TRUE(Refused("\"weight\": 90", "\"weight\": -90"));
+  EXPECT_TRUE(Refused("\"priority\": 1", "\"priority\": 1e300"));
+  EXPECT_TRUE(Refused("\"max_attempts\": 3", "\"max_attempts\": 0"));
+  EXPECT_TRUE(Refused("\"resources\": [", "\"resources\": 7, \"x\": ["));
 }
 
 TEST(PlatformDecode, ReadsAServersRecord) {
@@ -113,17 +113,17 @@
 }
 
 TEST(PlatformDecode, SkipsARecordThatNamesNoUsableServer) {
-  const auto skipped = [](std::string_view From, std::string_view To) {
+  const auto Skipped = [](std::string_view From, std::string_view To) {
     return !decodeServer("i-1", replaced(ServerText, From, To)).has_value();
   };
-  EXPECT_TRUE(skipped("\"ready\"", "\"resting\""));
-  EXPECT_TRUE(skipped("\"capacity\": 5", "\"capacity\": \"5\""));
-  EXPECT_TRUE(skipped("\"capacity\": 5", "\"capacity\": 0"));
-  EXPECT_TRUE(skipped("\"sequence\": 4", "\"sequence\": -4"));
-  EXPECT_TRUE(skipped("\"sequence\": 4", "\"sequence\": 4.5"));
-  EXPECT_TRUE(skipped("1764800000000", "\"today\""));
-  EXPECT_TRUE(skipped("\"address\": \"10.1.1.1:80\",", ""));
-  EXPECT_TRUE(skipped("\"warmup_left\": \"2s\"", "\"warmup_left\": \"1e99s\""));
+  EXPECT_TRUE(Skipped("\"ready\"", "\"resting\""));
+  EXPECT_TRUE(Skipped("\"capacity\": 5", "\"capacity\": \"5\""));
+  EXPECT_TRUE(Skipped("\"capacity\": 5", "\"capacity\": 0"));
+  EXPECT_TRUE(Skipped("\"sequence\": 4", "\"sequence\": -4"));
+  EXPECT_TRUE(Skipped("\"sequence\": 4", "\"sequence\": 4.5"));
+  EXPECT_TRUE(Skipped("1764800000000", "\"today\""));
+  EXPECT_TRUE(Skipped("\"address\": \"10.1.1.1:80\",", ""));
+  EXPECT_TRUE(Skipped("\"warmup_left\": \"2s\"", "\"warmup_left\": \"1e99s\""));
   EXPECT_FALSE(decodeServer("i-1", "\xff\x01"));
   EXPECT_FALSE(decodeServer("i-1", std::string(100000, '[')));
 }
--- a/tests/unit-platform-front.cpp
+++ b/tests/unit-platform-front.cpp
@@ -3,8 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/ip/udp.hpp>
 #include <csignal>
 #include <deque>
+
+#include <fstream>
 #include <future>
 
 namespace vanillahill::wire::fakes {
@@ -93,14 +96,15 @@
 /// The entry process of the platform inside the test.
 class RunningFront {
 public:
-  explicit RunningFront(const FakeStore &Store)
+  explicit RunningFront(const FakeStore &Store, std::string SettingsPath = {},
+                        std::uint16_t PeerPort = freePort())
       : m_Caller(freePort()), m_Ready(freePort()), m_Metrics(freePort()) {
     ProcessSettings Process{.m_Name = "n1",
                             .m_Ip = "127.0.0.1",
                             .m_DataCenter = "dc1",
                             .m_CallerAddress = "127.0.0.1:" + std::to_string(m_Caller),
                             .m_ReadyAddress = "127.0.0.1:" + std::to_string(m_Ready),
-                            .m_PeerPort = freePort(),
+                            .m_PeerPort = PeerPort,
                             .m_StoreAddress = Store.address(),
                             .m_StopGrace = std::chrono::milliseconds(400),
                             .m_DrainBound = std::chrono::milliseconds(200),
@@ -108,7 +112,10 @@
                             .m_RetryRatio = 0.5,
                             .m_RetryWindow = std::chrono::seconds(5),
                             .m_ProbesPerSecond = 500};
-    m_Front = Front::open({.m_Process = std::move(Process), .m_MetricsPort = m_Metrics}).value();
+    m_Front = Front::open({.m_Process = std::move(Process),
+                           .m_SettingsPath = std::move(SettingsPath),
+                           .m_MetricsPort = m_Metrics})
+                  .value();
     m_Thread = std::thread([this] { m_Front->run(); });
   }
 
@@ -435,6 +442,39 @@
   Vm.awaitStopped();
 }
 
+/// The settings file of a process, as far as a reload needs it.
+std::string settingsText(std::string_view Seed) {
+  return "{\"self\":{\"node\":\"n1\",\"ip\":\"127.0.0.1\",\"zone\":\"dc1\",\"limits\":{\"cores\":1}"
+         "},"
+         "\"network\":{\"listen\":{\"front\":\"127.0.0.1:1\",\"ready\":\"127.0.0.1:2\"},"
+         "\"internal_port_range\":[7000,7001],\"seeds\":[\"" +
+         std::string(Seed) +
+         ":1\"]},\"platform\":{\"platform\":{\"address\":\"127.0.0.1:3\"}},"
+         "\"terms\":{\"bounds\":{\"grace\":\"400ms\",\"drain\":\"200ms\",\"config\":\"200ms\","
+         "\"budget_ratio\":0.5,\"budget_window\":\"5s\",\"probes_per_s\":500}}}";
+}
+
+TEST_F(FrontTest, ASignalReloadsTheSettingsAndABrokenFileChangesNothing) {
+  PlatformServer Server("i-1");
+  m_Store.put("keyed.op", "config", configuration(3));
+  add(Server);
+  const std::string Path = testing::TempDir() + "front-settings.json";
+  // A socket of another VM: what it receives shows that the seed counts.
+  net::fakes::asio::io_context Io;
+  boost::asio::ip::udp::socket Other(Io, {boost::asio::ip::make_address("127.0.0.2"), 0});
+  std::ofstream(Path) << settingsText("127.0.0.1");
+  RunningFront Vm(m_Store, Path, Other.local_endpoint().port());
+  Vm.awaitReady();
+  std::ofstream(Path) << "{";
+  std::raise(SIGHUP);
+  EXPECT_EQ(Vm.ask("/look/1").result_int(), 200U);
+  std::ofstream(Path) << settingsText("127.0.0.2");
+  std::raise(SIGHUP);
+  std::array<char, 100> Hello{};
+  EXPECT_GT(Other.receive(boost::asio::buffer(Hello)), 0U);
+  EXPECT_EQ(Vm.ask("/look/1").result_int(), 200U);
+}
+
 TEST_F(FrontTest, ShowsItsMetrics) {
   PlatformServer Server("i-1");
   m_Store.put("keyed.op", "config", configuration(3));
--- a/tests/unit-probed.cpp
+++ b/tests/unit-probed.cpp
@@ -344,7 +344,8 @@
 
 /// Servers change at random while requests come: each request gets one answer, and one that must
 /// not run twice has at most one attempt that may have run.
-RC_GTEST_PROP(Probed, EveryRequestEndsOnceUnderDrawnFaults, (std::vector<std::uint16_t> Steps)) {
+RC_GTEST_PROP(Probed, EveryRequestEndsOnceUnderDrawnFaults,
+              (const std::vector<std::uint16_t> &Steps)) {
   Desk Service(5);
   std::vector<RequestId> Posts;
   std::vector<RequestId> All;
