--- a/include/vanillahill/kernel/probed/backend_view.hpp
+++ b/include/vanillahill/kernel/probed/backend_view.hpp
@@ -112,6 +112,11 @@
   /// \brief Whether every slot is taken, by the last report.
   bool isFull() const { return m_Load && m_Load->m_Running >= slots(); }
 
+  /// \brief Whether one more request would take the server beyond NearlyFullShare.
+  bool isNearlyFull() const {
+    return m_Load && (m_Load->m_Running + 1.0) / slots() > NearlyFullShare;
+  }
+
   /// \brief Requests that wait there for a slot, by the last report.
   std::uint32_t waiting() const { return m_Load ? m_Load->m_Waiting : 0; }
 
@@ -125,8 +130,7 @@
     double Factor = 1.0 + m_Slowness.value(Now);
     if (m_Load) {
       Factor *= m_Load->m_Slowdown;
-      const double Share = (m_Load->m_Running + 1.0) / slots();
-      Factor *= Share > NearlyFullShare ? NearlyFullSlowdown : 1.0;
+      Factor *= isNearlyFull() ? NearlyFullSlowdown : 1.0;
     }
     return Now < m_Settings.m_ColdUntil ? Factor * ColdSlowdown : Factor;
   }
--- a/include/vanillahill/kernel/probed/request.hpp
+++ b/include/vanillahill/kernel/probed/request.hpp
@@ -48,6 +48,8 @@
   TimePoint m_Started{};
   /// How much longer than usual the work was expected to take.
   double m_ExpectedSlowdown = 1.0;
+  /// Most slots of the server were taken when it was sent.
+  bool m_WasNearlyFull = false;
   /// Paid for from the retry budget.
   bool m_IsPaid = false;
   bool m_Cancelled = false;
--- a/src/fleet/catalog.cpp
+++ b/src/fleet/catalog.cpp
@@ -8,9 +8,9 @@
 
 /// Departed servers remembered at most; the store's own records of them are long gone by then.
 constexpr std::size_t MostDeparted = 4096;
-/// Shares of budgets are made for a fleet that is larger than what is known by a quarter: VMs come
+/// Shares of budgets are made for a fleet that is larger than what is known by a tenth: VMs come
 /// and go, and a VM learns of another one late.
-constexpr std::uint32_t FleetReserveDivisor = 4;
+constexpr std::uint32_t FleetReserveDivisor = 5;
 
 /// A kind of request: a route at one of its services.
 std::string kindName(const Route &Value, std::string_view Service) {
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -20,7 +20,7 @@
 /// Failure that a refusal before the work counts as.
 constexpr double RefusedWork = 0.3;
 /// Failure that a peer's word counts as.
-constexpr double PeerWord = 1.0;
+constexpr double PeerWord = 0.5;
 
 Duration seconds(double Value) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Value));
@@ -286,6 +286,7 @@
                      .m_Server = Backend.m_Settings.m_Id,
                      .m_Started = Now,
                      .m_ExpectedSlowdown = Backend.slowdown(Now),
+                     .m_WasNearlyFull = Backend.isNearlyFull(),
                      .m_IsPaid = Value.m_Purpose != SearchFor::FirstSend};
   Decision Made = about(Value.m_Purpose == SearchFor::FirstSend ? DecisionType::Placed
                         : Value.m_Purpose == SearchFor::Retry   ? DecisionType::Retried
@@ -331,7 +332,9 @@
   const Kind &Wanted = m_Kinds[Value.m_Kind];
   const bool MayTryMore =
       Value.m_Tried.size() < std::min<std::size_t>(Wanted.m_Settings.m_MaxAttempts, MostAttempts);
-  if (Value.m_Running.size() != 1 || Value.m_Search || !MayTryMore || !m_Budget.canTake()) {
+  // Probes for first sends come first: with few left, hedges would make these choose worse.
+  if (Value.m_Running.size() != 1 || Value.m_Search || !MayTryMore || !m_Budget.canTake() ||
+      !m_Probes.allowsMoreRounds(Now)) {
     return;
   }
   search(Value, SearchFor::Hedge, Now, Out);
@@ -462,6 +465,11 @@
     addFailure(*Backend, 1.0, Now, Out);
     return;
   case AttemptResult::Unknown:
+    if (Sent.m_WasNearlyFull) {
+      // Some servers reset connections when they are full: that is load, not failure.
+      addFailure(*Backend, RefusedWork, Now, Out);
+      return;
+    }
     addFailure(*Backend, 1.0, Now, Out);
     Out.push_back(TellServerFailure{Sent.m_Server});
     return;
--- a/tests/unit-probed.cpp
+++ b/tests/unit-probed.cpp
@@ -199,10 +199,48 @@
   EXPECT_GT(Service.server(0).m_Got.size(), Before) << "it is tried again";
 }
 
+TEST(Probed, AResetOfAFullServerIsLoadAndNotTold) {
+  Desk Service(3);
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    Service.server(Index).m_Running = 4;
+    Service.server(Index).m_Result = AttemptResult::Unknown;
+    Service.server(Index).m_Work = milliseconds(1);
+  }
+  Service.arrive(Desk::Post);
+  Service.advance(milliseconds(50));
+  EXPECT_EQ(Service.told(), 0U);
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    Service.server(Index).m_Running = 0;
+  }
+  Service.arrive(Desk::Post);
+  Service.advance(milliseconds(50));
+  EXPECT_EQ(Service.told(), 1U) << "with slots free it is a failure";
+}
+
+TEST(Probed, HedgesDoNotTakeTheProbesOfFirstSends) {
+  Desk Service(10, [](ServiceSettings &Settings) { Settings.m_Policy.m_ProbesPerSecond = 60; });
+  for (std::size_t Index = 0; Index < 10; ++Index) {
+    Service.server(Index).m_Work = milliseconds(200);
+  }
+  std::size_t Sends = 0;
+  constexpr std::size_t Requests = 400;
+  std::vector<RequestId> All;
+  for (std::size_t Round = 0; Round < Requests; ++Round) {
+    All.push_back(Service.arrive(Desk::Look));
+    Service.advance(milliseconds(30));
+  }
+  Service.advance(seconds(2));
+  for (const RequestId Request : All) {
+    Sends += Service.attemptsOf(Request);
+  }
+  EXPECT_LE(Sends, Requests + Requests / 20);
+}
+
 TEST(Probed, AnotherVmsWordSetsAServerAside) {
   Desk Service(6);
-  Service.peerMark(2);
-  Service.peerMark(2);
+  for (int Word = 0; Word < 4; ++Word) {
+    Service.peerMark(2);
+  }
   for (int Round = 0; Round < 30; ++Round) {
     Service.arrive(Desk::Post);
     Service.advance(milliseconds(10));
