--- a/include/vanillahill/kernel/probed/placement.hpp
+++ b/include/vanillahill/kernel/probed/placement.hpp
@@ -77,7 +77,6 @@
           std::span<const BackendIndex> Asked, TimePoint Now, std::mt19937_64 &Random);
 
 /// \brief The cheapest of the servers that answered.
-/// \param Since reports from before then are not used
 /// \return nothing when none answered
 std::optional<Candidate> cheapest(std::span<const BackendView> Backends, const SearchTarget &Target,
                                   std::span<const BackendIndex> Asked, TimePoint Now);
