A stop takes no requests after its linger time, whatever still runs

Cause: connections were closed only once nothing was in flight. On a VM whose data centre has too few others in rotation callers keep coming, so that moment may never be there. Change: the kernel says StopAccepting when the linger time is over; the listener and idle connections are closed then, and what runs goes on. Tests: unit-dispatcher AStopTakesNoMoreRequestsOnceTheLingerTimeIsOver (paused clock) and unit-platform-front AStopClosesConnectionsThatAreKeptWhileARequestStillRuns.

--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -242,11 +242,16 @@
   ServerId m_Server{};
 };
 
-/// Nothing is in flight any more after StopRequested: the process may exit.
+/// The linger time after StopRequested is over: new requests are no longer taken. Idle connections
+/// are closed, so that a caller that kept one does not send a request that cannot end in time.
+struct StopAccepting {};
+
+/// Nothing is in flight any more after StopAccepting: the process may exit.
 struct Stopped {};
 
-using Action = std::variant<Dispatch, CancelAttempt, Answer, SendPeer, ConnectPeers, AppendLog,
-                            Probe, SettingsChanged, TellServerFailure, Decision, Stopped>;
+using Action =
+    std::variant<Dispatch, CancelAttempt, Answer, SendPeer, ConnectPeers, AppendLog, Probe,
+                 SettingsChanged, TellServerFailure, Decision, StopAccepting, Stopped>;
 using Actions = std::vector<Action>;
 
 } // namespace vanillahill::kernel
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -413,8 +413,15 @@
   }
 
   void stopWhenDone(TimePoint Now, Actions &Out) {
+    if (!m_StopAt || Now < *m_StopAt) {
+      return;
+    }
+    if (!m_StoppedAccepting) {
+      m_StoppedAccepting = true;
+      Out.push_back(StopAccepting{});
+    }
     const bool Idle = m_Open.empty() && m_Attempts.empty();
-    if (m_StopAt && Now >= *m_StopAt && Idle && !m_Stopped) {
+    if (Idle && !m_Stopped) {
       m_Stopped = true;
       Out.push_back(Stopped{});
     }
@@ -472,6 +479,7 @@
   /// VMs that share the slots, as last told to the dispatchers.
   std::vector<VmId> m_Sharers;
   std::optional<TimePoint> m_StopAt;
+  bool m_StoppedAccepting = false;
   bool m_Stopped = false;
   std::uint64_t m_MessagesSent = 0;
   TimePoint m_Now{};
--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -61,6 +61,7 @@
   void carryOut(kernel::TellServerFailure & /*Step*/) {
     // Heartbeats between VMs carry this already.
   }
+  void carryOut(kernel::StopAccepting & /*Step*/) { m_Callers->close(); }
   void carryOut(kernel::Stopped &Step);
 
   void applySettings();
@@ -202,7 +203,6 @@
 }
 
 void Entry::State::carryOut(kernel::Stopped &) {
-  m_Callers->close();
   m_Platform->close();
   asio::post(m_Io, [this] { awaitCallersGone(SystemClock().now() + CloseTimeout); });
 }
--- a/tests/unit-dispatcher.cpp
+++ b/tests/unit-dispatcher.cpp
@@ -133,6 +133,21 @@
   EXPECT_GT(Final[0].m_RetryAfter, Duration{});
 }
 
+TEST_F(DispatcherTest, AStopTakesNoMoreRequestsOnceTheLingerTimeIsOver) {
+  start(1, 1);
+  const auto First = only<Dispatch>(arrive(1, "desk/post"));
+  EXPECT_TRUE(only<StopAccepting>(send(StopRequested{})).empty());
+  m_Clock.advance(Ms(1000));
+  const Actions Over = send(TimerFired{});
+  EXPECT_EQ(only<StopAccepting>(Over).size(), 1U) << "while a request still runs";
+  EXPECT_TRUE(only<Stopped>(Over).empty());
+  const Actions After = send(AttemptEnded{.m_Attempt = First.at(0).m_Attempt,
+                                          .m_Result = AttemptResult::Completed,
+                                          .m_Reply = std::make_shared<Reply>()});
+  EXPECT_TRUE(only<StopAccepting>(After).empty());
+  EXPECT_EQ(only<Stopped>(After).size(), 1U);
+}
+
 TEST_F(DispatcherTest, StopEndsWhenNothingIsInFlight) {
   start(1, 1);
   const auto First = only<Dispatch>(arrive(1, "desk/post"));
--- a/tests/unit-platform-front.cpp
+++ b/tests/unit-platform-front.cpp
@@ -442,6 +442,40 @@
   Vm.awaitStopped();
 }
 
+TEST_F(FrontTest, AStopClosesConnectionsThatAreKeptWhileARequestStillRuns) {
+  std::promise<void> Started;
+  std::promise<void> MayEnd;
+  auto Waits = MayEnd.get_future().share();
+  PlatformServer Server("i-1", [&Started, Waits](const BackendRequest &Request) {
+    if (Request.target() == "/long/1") {
+      Started.set_value();
+      Waits.wait();
+    }
+    return PlatformServer::reply(Request, "200 OK", "whole");
+  });
+  m_Store.put("keyed.op", "config",
+              configuration(3,
+                            "{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"long\"},"
+                            "\"spec\":{\"host\":\"a.example\",\"path_prefix\":\"/long/\",\"kind\":"
+                            "\"unsafe\",\"timeout\":\"60s\",\"service\":\"svc\"}},"));
+  add(Server);
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  Client Kept(Vm.callerPort());
+  EXPECT_EQ(Kept.ask(RunningFront::request("/look/1")).result_int(), 200U);
+  Client Caller(Vm.callerPort());
+  std::string Long = RunningFront::request("/long/1", "POST");
+  Long.replace(Long.find("700"), 3, "60000");
+  Caller.send(Long);
+  Started.get_future().wait();
+  Vm.front().requestStop();
+  // Before the request below ends: its caller must not send one that the end would cut off.
+  Kept.awaitEnd();
+  MayEnd.set_value();
+  EXPECT_EQ(Caller.receive().result_int(), 200U);
+  Vm.awaitStopped();
+}
+
 /// The settings file of a process, as far as a reload needs it.
 std::string settingsText(std::string_view Seed) {
   return "{\"self\":{\"node\":\"n1\",\"ip\":\"127.0.0.1\",\"zone\":\"dc1\",\"limits\":{\"cores\":1}"
