News of the store is compressed, so that long ranges and configurations are told

Change: a message that does not fit into a datagram is compressed with zlib, and cut into pieces when it still does not fit; a range may take eight datagrams. Ruled out: trees of VMs that pass news on (a lost or dead VM would cut off its branch), and fewer bytes by a binary form of our own (a library does it).

--- a/include/vanillahill/fleet/news.hpp
+++ b/include/vanillahill/fleet/news.hpp
@@ -1,12 +1,13 @@
 /// \file
-/// Messages between VMs that follow the same store, and their codec. One datagram each.
+/// Messages between VMs that follow the same store, and their codec. Most fit into one datagram;
+/// longer ones are compressed and sent in pieces.
 #pragma once
 
 #include "vanillahill/core/error.hpp"
 #include "vanillahill/core/ids.hpp"
 #include "vanillahill/fleet/follower.hpp"
 
-#include <span>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -41,7 +42,7 @@
   bool m_IsSteady = false;
   /// Records that say something new; others in the range do not matter.
   std::vector<Record> m_Records;
-  /// The range holds records too long to be told: they must be read.
+  /// The records are too long to be told: they must be read.
   bool m_IsPartial = false;
 };
 
@@ -58,14 +59,6 @@
   std::uint64_t m_ServersPosition = 0;
 };
 
-/// A piece of a snapshot. Snapshots are numbered by their sender.
-struct SnapshotPiece {
-  std::uint64_t m_Number = 0;
-  std::uint32_t m_Index = 0;
-  std::uint32_t m_Count = 0;
-  std::string m_Bytes;
-};
-
 /// What one VM knows of the store, for a VM that the store does not answer.
 struct Snapshot {
   std::uint64_t m_ConfigurationPosition = 0;
@@ -76,37 +69,49 @@
   std::vector<Record> m_Servers;
 };
 
-using News = std::variant<Hello, PeerList, StoreNews, ServerFailed, SnapshotWanted, SnapshotPiece>;
+/// A piece of a message that does not fit into one datagram. Such messages are numbered by their
+/// sender.
+struct Piece {
+  std::uint64_t m_Number = 0;
+  std::uint32_t m_Index = 0;
+  std::uint32_t m_Count = 0;
+  std::string m_Bytes;
+};
+
+using News =
+    std::variant<Hello, PeerList, StoreNews, ServerFailed, SnapshotWanted, Piece, Snapshot>;
 
-/// \brief Writes a message.
+/// \brief Writes a message, whatever its size.
 std::string encodeNews(const News &Message);
 
-/// \brief Reads a message.
-/// \return Errc::PeerFrameMalformed for anything that encodeNews() does not write
-Result<News> decodeNews(std::string_view Datagram);
+/// \brief Reads a message, compressed or not.
+/// \return Errc::PeerFrameMalformed for anything that encodeNews() or packNews() does not write
+Result<News> decodeNews(std::string_view Frame);
 
-/// \brief Splits a range into messages that fit into one datagram each.
-/// \param Range every record of the range
-/// \param Keeps tells which records say something new, in their order
-/// \param Common what all messages say beside their part of the range
-std::vector<StoreNews> splitNews(const RecordRange &Range, std::span<const bool> Keeps,
-                                 const StoreNews &Common);
+/// \brief Writes a message as datagrams: as it is when it fits into one, else compressed, and in
+/// pieces when it still does not fit.
+/// \param Number number of the message, for its pieces; a sender never uses one twice
+std::vector<std::string> packNews(const News &Message, std::uint64_t Number);
 
-/// \brief Writes a snapshot in pieces that fit into one datagram each.
-std::vector<SnapshotPiece> cutSnapshot(std::uint64_t Number, const Snapshot &Whole);
-
-/// Puts the pieces of one sender's newest snapshot together.
+/// Puts the pieces of messages together; several senders may send at the same time.
 class PieceCollector {
 public:
+  /// Messages that are put together at the same time; with more, the oldest is given up.
+  static constexpr std::size_t MostUnfinished = 8;
+
   /// \brief Takes a piece.
-  /// \param Sender snapshots of different senders are kept apart; the latest one to begin counts
-  /// \return the snapshot once all of its pieces are there; nothing for a malformed one
-  std::optional<Snapshot> take(std::string_view Sender, SnapshotPiece Piece);
+  /// \param Sender messages of different senders are kept apart
+  /// \return the frame, for decodeNews(), once all of its pieces are there
+  std::optional<std::string> take(std::string_view Sender, Piece Received);
 
 private:
-  std::string m_Sender;
-  std::uint64_t m_Number = 0;
-  std::vector<std::optional<std::string>> m_Pieces;
+  struct Unfinished {
+    std::string m_Sender;
+    std::uint64_t m_Number = 0;
+    std::vector<std::optional<std::string>> m_Pieces;
+  };
+
+  std::vector<Unfinished> m_Unfinished;
 };
 
 } // namespace vanillahill::fleet
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -10,6 +10,8 @@
 #include "vanillahill/fleet/peers.hpp"
 #include "vanillahill/net/detail/datagrams.hpp"
 
+#include <span>
+
 namespace vanillahill::net {
 
 /// What a read of the store came to.
@@ -94,11 +96,12 @@
   void on(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now);
   void on(std::string_view Ip, const fleet::ServerFailed &Message, TimePoint Now);
   void on(std::string_view Ip, const fleet::SnapshotWanted &Message, TimePoint Now);
-  void on(std::string_view Ip, const fleet::SnapshotPiece &Message, TimePoint Now);
+  void on(std::string_view Ip, const fleet::Piece &Message, TimePoint Now);
+  void on(std::string_view Ip, const fleet::Snapshot &Message, TimePoint Now);
   void askForSnapshot();
   bool hasFleetChanged() const;
   void greet();
-  void sendToAll(const fleet::News &Message);
+  void sendToAll(std::span<const std::string> Datagrams);
   void send(const std::string &Ip, const fleet::News &Message);
   bool mayTell(ServerId Server, TimePoint Now);
 
@@ -115,7 +118,8 @@
   /// VMs that the store does not answer.
   std::string m_ConfigurationText;
   std::map<std::string, std::string, std::less<>> m_ServerTexts;
-  std::uint64_t m_LastSnapshot = 0;
+  /// Number of the message that was sent last in pieces.
+  std::uint64_t m_LastLong = 0;
   std::mt19937_64 m_Random;
   /// Fleet size that the settings in force were made for.
   std::size_t m_SettingsFleetSize = 1;
--- a/src/fleet/news.cpp
+++ b/src/fleet/news.cpp
@@ -1,8 +1,10 @@
 #include "vanillahill/fleet/news.hpp"
 
 #include <nlohmann/json.hpp>
+#include <zlib.h>
 
 #include <algorithm>
+#include <span>
 
 namespace vanillahill::fleet {
 
@@ -11,13 +13,15 @@
 using Json = nlohmann::json;
 
 constexpr int FormatVersion = 1;
-/// Room for the fields around the records of a datagram.
+/// Room for the fields around the bytes of a piece.
 constexpr std::size_t EnvelopeBytes = 64;
-/// Room for the lengths around one record.
-constexpr std::size_t RecordOverhead = 12;
 constexpr std::size_t PieceBytes = MostDatagramBytes - EnvelopeBytes;
-/// Pieces of one configuration at most.
-constexpr std::uint32_t MostPieces = 65536;
+/// Pieces of one message at most.
+constexpr std::uint32_t MostPieces = 8192;
+/// Bytes of a message at most, before it is compressed.
+constexpr std::size_t MostFrameBytes = 16U << 20U;
+/// Type of a frame that holds another one, compressed.
+constexpr std::size_t CompressedType = 100;
 
 Json binary(std::string_view Bytes) {
   return Json::binary(std::vector<std::uint8_t>(Bytes.begin(), Bytes.end()));
@@ -75,10 +79,15 @@
   return Json::array({Message.m_Version, Message.m_ServersPosition});
 }
 
-Json body(const SnapshotPiece &Message) {
+Json body(const Piece &Message) {
   return Json::array({Message.m_Number, Message.m_Index, Message.m_Count, binary(Message.m_Bytes)});
 }
 
+Json body(const Snapshot &Message) {
+  return Json::array({Message.m_ConfigurationPosition, binary(Message.m_ConfigurationText),
+                      Message.m_ServersPosition, listOf(Message.m_Servers)});
+}
+
 StoreNews readStoreNews(const Json &Fields) {
   const auto Which = Fields.at(0).get<std::size_t>();
   const auto AgeMicros = Fields.at(3).get<std::int64_t>();
@@ -113,10 +122,15 @@
     return SnapshotWanted{.m_Version = Fields.at(0).get<std::uint64_t>(),
                           .m_ServersPosition = Fields.at(1).get<std::uint64_t>()};
   case 5:
-    return SnapshotPiece{.m_Number = Fields.at(0).get<std::uint64_t>(),
-                         .m_Index = Fields.at(1).get<std::uint32_t>(),
-                         .m_Count = Fields.at(2).get<std::uint32_t>(),
-                         .m_Bytes = textOf(Fields.at(3))};
+    return Piece{.m_Number = Fields.at(0).get<std::uint64_t>(),
+                 .m_Index = Fields.at(1).get<std::uint32_t>(),
+                 .m_Count = Fields.at(2).get<std::uint32_t>(),
+                 .m_Bytes = textOf(Fields.at(3))};
+  case 6:
+    return Snapshot{.m_ConfigurationPosition = Fields.at(0).get<std::uint64_t>(),
+                    .m_ConfigurationText = textOf(Fields.at(1)),
+                    .m_ServersPosition = Fields.at(2).get<std::uint64_t>(),
+                    .m_Servers = recordsOf(Fields.at(3))};
   default:
     throw std::invalid_argument("unknown type " + std::to_string(Type));
   }
@@ -126,26 +140,70 @@
   return {Errc::PeerFrameMalformed, "read datagram", "", std::move(Detail)};
 }
 
-std::size_t sizeOf(const Record &Entry) {
-  return Entry.m_Key.size() + (Entry.m_Value ? Entry.m_Value->size() : 0) + RecordOverhead;
+std::string encodeFrame(std::size_t Type, Json Body) {
+  const std::vector<std::uint8_t> Bytes =
+      Json::to_cbor(Json::array({FormatVersion, Type, std::move(Body)}));
+  return {Bytes.begin(), Bytes.end()};
 }
 
-} // namespace
+/// \return the frame when zlib cannot compress it, which it then is not
+std::string compress(const std::string &Frame) {
+  uLongf Size = compressBound(Frame.size());
+  std::string Bytes(Size, '\0');
+  const int Status =
+      compress2(reinterpret_cast<Bytef *>(Bytes.data()), &Size,
+                reinterpret_cast<const Bytef *>(Frame.data()), Frame.size(), Z_DEFAULT_COMPRESSION);
+  if (Status != Z_OK) {
+    return Frame;
+  }
+  Bytes.resize(Size);
+  return encodeFrame(CompressedType, Json::array({Frame.size(), binary(Bytes)}));
+}
 
-std::string encodeNews(const News &Message) {
-  Json Frame = Json::array({FormatVersion, Message.index()});
-  Frame.push_back(std::visit([](const auto &Typed) { return body(Typed); }, Message));
-  const std::vector<std::uint8_t> Bytes = Json::to_cbor(Frame);
-  return {Bytes.begin(), Bytes.end()};
+Result<std::string> uncompress(const Json &Fields) {
+  const auto Whole = Fields.at(0).get<std::size_t>();
+  if (Whole > MostFrameBytes) {
+    return malformed("too large");
+  }
+  const auto &Bytes = Fields.at(1).get_binary();
+  std::string Frame(Whole, '\0');
+  uLongf Size = Whole;
+  const int Status =
+      ::uncompress(reinterpret_cast<Bytef *>(Frame.data()), &Size, Bytes.data(), Bytes.size());
+  if (Status != Z_OK || Size != Whole) {
+    return malformed("cannot be uncompressed");
+  }
+  return Frame;
+}
+
+/// Reads a frame that is not compressed.
+Result<News> readPlain(const Json &Frame) {
+  return readBody(Frame.at(1).get<std::size_t>(), Frame.at(2));
 }
 
-Result<News> decodeNews(std::string_view Datagram) {
-  const Json Frame = Json::from_cbor(Datagram.begin(), Datagram.end(), true, false);
+Json parseFrame(std::string_view Bytes) {
+  Json Frame = Json::from_cbor(Bytes.begin(), Bytes.end(), true, false);
   if (!Frame.is_array() || Frame.size() != 3 || Frame[0] != FormatVersion) {
-    return malformed("not a message of this version");
+    throw std::invalid_argument("not a message of this version");
   }
+  return Frame;
+}
+
+} // namespace
+
+std::string encodeNews(const News &Message) {
+  return encodeFrame(Message.index(),
+                     std::visit([](const auto &Typed) { return body(Typed); }, Message));
+}
+
+Result<News> decodeNews(std::string_view Frame) {
   try {
-    return readBody(Frame[1].get<std::size_t>(), Frame[2]);
+    const Json Outer = parseFrame(Frame);
+    if (Outer.at(1).get<std::size_t>() != CompressedType) {
+      return readPlain(Outer);
+    }
+    const auto Inner = uncompress(Outer.at(2));
+    return Inner ? readPlain(parseFrame(*Inner)) : Result<News>(Inner.error());
   } catch (const Json::exception &Raised) {
     return malformed(Raised.what());
   } catch (const std::invalid_argument &Raised) {
@@ -153,88 +211,55 @@
   }
 }
 
-std::vector<StoreNews> splitNews(const RecordRange &Range, std::span<const bool> Keeps,
-                                 const StoreNews &Common) {
-  std::vector<StoreNews> Parts;
-  const auto Begin = [&](std::uint64_t From) {
-    Parts.push_back(Common);
-    Parts.back().m_Stream = Range.m_Stream;
-    Parts.back().m_From = From;
-    Parts.back().m_To = Range.m_To;
-  };
-  Begin(Range.m_From);
-  std::size_t Bytes = EnvelopeBytes;
-  for (std::size_t Index = 0; Index < Range.m_Records.size(); ++Index) {
-    if (!Keeps[Index]) {
-      continue;
-    }
-    const Record &Entry = Range.m_Records[Index];
-    const std::size_t Needed = sizeOf(Entry);
-    if (EnvelopeBytes + Needed > MostDatagramBytes) {
-      Parts.back().m_IsPartial = true;
-      continue;
-    }
-    if (Bytes + Needed > MostDatagramBytes) {
-      const std::uint64_t Cut = Range.m_From + Index;
-      Parts.back().m_To = Cut;
-      Begin(Cut);
-      Bytes = EnvelopeBytes;
-    }
-    Parts.back().m_Records.push_back(Entry);
-    Bytes += Needed;
+std::vector<std::string> packNews(const News &Message, std::uint64_t Number) {
+  std::string Frame = encodeNews(Message);
+  if (Frame.size() > MostDatagramBytes) {
+    Frame = compress(Frame);
   }
-  return Parts;
-}
-
-std::vector<SnapshotPiece> cutSnapshot(std::uint64_t Number, const Snapshot &Whole) {
-  const Json Document =
-      Json::array({Whole.m_ConfigurationPosition, binary(Whole.m_ConfigurationText),
-                   Whole.m_ServersPosition, listOf(Whole.m_Servers)});
-  const std::vector<std::uint8_t> Bytes = Json::to_cbor(Document);
-  const std::string_view Text(reinterpret_cast<const char *>(Bytes.data()), Bytes.size());
-  const auto Count = static_cast<std::uint32_t>((Text.size() + PieceBytes - 1) / PieceBytes);
-  std::vector<SnapshotPiece> Pieces;
+  if (Frame.size() <= MostDatagramBytes) {
+    return {std::move(Frame)};
+  }
+  const auto Count = static_cast<std::uint32_t>((Frame.size() + PieceBytes - 1) / PieceBytes);
+  std::vector<std::string> Datagrams;
   for (std::uint32_t Index = 0; Index < Count; ++Index) {
-    Pieces.push_back({.m_Number = Number,
-                      .m_Index = Index,
-                      .m_Count = Count,
-                      .m_Bytes = std::string(Text.substr(Index * PieceBytes, PieceBytes))});
+    Datagrams.push_back(encodeNews(Piece{.m_Number = Number,
+                                         .m_Index = Index,
+                                         .m_Count = Count,
+                                         .m_Bytes = Frame.substr(Index * PieceBytes, PieceBytes)}));
   }
-  return Pieces;
+  return Datagrams;
 }
 
-std::optional<Snapshot> PieceCollector::take(std::string_view Sender, SnapshotPiece Piece) {
-  if (Piece.m_Count == 0 || Piece.m_Count > MostPieces || Piece.m_Index >= Piece.m_Count) {
-    return std::nullopt;
-  }
-  const bool IsSame = Sender == m_Sender && Piece.m_Number == m_Number;
-  if (!IsSame && Sender == m_Sender && Piece.m_Number < m_Number) {
+std::optional<std::string> PieceCollector::take(std::string_view Sender, Piece Received) {
+  if (Received.m_Count == 0 || Received.m_Count > MostPieces ||
+      Received.m_Index >= Received.m_Count) {
     return std::nullopt;
   }
-  if (!IsSame || Piece.m_Count != m_Pieces.size()) {
-    m_Sender = std::string(Sender);
-    m_Number = Piece.m_Number;
-    m_Pieces.assign(Piece.m_Count, std::nullopt);
+  auto Found = std::find_if(m_Unfinished.begin(), m_Unfinished.end(), [&](const Unfinished &One) {
+    return One.m_Sender == Sender && One.m_Number == Received.m_Number;
+  });
+  if (Found == m_Unfinished.end()) {
+    if (m_Unfinished.size() == MostUnfinished) {
+      m_Unfinished.erase(m_Unfinished.begin());
+    }
+    m_Unfinished.push_back({.m_Sender = std::string(Sender), .m_Number = Received.m_Number});
+    Found = std::prev(m_Unfinished.end());
+    Found->m_Pieces.resize(Received.m_Count);
   }
-  m_Pieces[Piece.m_Index] = std::move(Piece.m_Bytes);
-  if (!std::all_of(m_Pieces.begin(), m_Pieces.end(), [](const auto &One) { return One; })) {
+  if (Received.m_Count != Found->m_Pieces.size()) {
     return std::nullopt;
   }
-  std::string Text;
-  for (const auto &One : m_Pieces) {
-    Text += *One;
-  }
-  m_Pieces.clear();
-  const Json Document = Json::from_cbor(Text, true, false);
-  try {
-    return Snapshot{.m_ConfigurationPosition = Document.at(0).get<std::uint64_t>(),
-                    .m_ConfigurationText = textOf(Document.at(1)),
-                    .m_ServersPosition = Document.at(2).get<std::uint64_t>(),
-                    .m_Servers = recordsOf(Document.at(3))};
-  } catch (const Json::exception &) {
-    // A sender that writes anything else is treated like one that is not heard.
+  Found->m_Pieces[Received.m_Index] = std::move(Received.m_Bytes);
+  if (!std::all_of(Found->m_Pieces.begin(), Found->m_Pieces.end(),
+                   [](const auto &One) { return One.has_value(); })) {
     return std::nullopt;
   }
+  std::string Frame;
+  for (const auto &One : Found->m_Pieces) {
+    Frame += *One;
+  }
+  m_Unfinished.erase(Found);
+  return Frame;
 }
 
 } // namespace vanillahill::fleet
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -2,6 +2,7 @@
 
 #include "vanillahill/observe/log.hpp"
 
+#include <array>
 #include <set>
 
 namespace vanillahill::net {
@@ -15,7 +16,7 @@
 constexpr Duration TellPause = std::chrono::milliseconds(150);
 /// Datagrams of one range at most: a longer one is read from the store by every VM, which costs
 /// less than the links between data centres.
-constexpr std::size_t MostToldParts = 3;
+constexpr std::size_t MostToldDatagrams = 8;
 /// Servers whose failures are remembered at most.
 constexpr std::size_t MostTold = 4096;
 /// Failed reads after which another VM is asked for what may be missing.
@@ -212,31 +213,25 @@
 void FleetClient::tellNews(const fleet::RecordRange &Range, const std::vector<bool> &Keeps,
                            TimePoint Now) {
   // Only what no VM has told: many read at once when a fleet starts.
-  fleet::RecordRange Rest{.m_Stream = Range.m_Stream,
-                          .m_From = m_Follower.untoldFrom(Range),
-                          .m_To = Range.m_To,
-                          .m_AskedAt = Range.m_AskedAt};
-  const auto Skipped = std::min<std::size_t>(Rest.m_From - Range.m_From, Range.m_Records.size());
-  Rest.m_Records.assign(Range.m_Records.begin() + static_cast<std::ptrdiff_t>(Skipped),
-                        Range.m_Records.end());
-  const auto Flags = std::make_unique<bool[]>(Keeps.size());
-  std::copy(Keeps.begin(), Keeps.end(), Flags.get());
-  const std::span<const bool> Kept(Flags.get(), Keeps.size());
-  const fleet::StoreNews Common{.m_Age = Now - Range.m_AskedAt,
-                                .m_MayHaveLapsed = m_Lapse.mayHaveLapsed(Now),
-                                .m_IsSteady = m_Lapse.isSteady(Now)};
-  std::vector<fleet::StoreNews> Parts =
-      fleet::splitNews(Rest, Kept.subspan(std::min(Skipped, Kept.size())), Common);
-  if (Parts.size() > MostToldParts) {
-    Parts.resize(1);
-    Parts[0].m_To = Rest.m_To;
-    Parts[0].m_Records.clear();
-    Parts[0].m_IsPartial = true;
-  }
-  for (const fleet::StoreNews &Part : Parts) {
-    sendToAll(Part);
-  }
-  m_Follower.told(Rest);
+  fleet::StoreNews Told{.m_Stream = Range.m_Stream,
+                        .m_From = m_Follower.untoldFrom(Range),
+                        .m_To = Range.m_To,
+                        .m_Age = Now - Range.m_AskedAt,
+                        .m_MayHaveLapsed = m_Lapse.mayHaveLapsed(Now),
+                        .m_IsSteady = m_Lapse.isSteady(Now)};
+  for (std::size_t Index = Told.m_From - Range.m_From; Index < Keeps.size(); ++Index) {
+    if (Keeps[Index]) {
+      Told.m_Records.push_back(Range.m_Records[Index]);
+    }
+  }
+  auto Datagrams = fleet::packNews(Told, ++m_LastLong);
+  if (Datagrams.size() > MostToldDatagrams) {
+    Told.m_Records.clear();
+    Told.m_IsPartial = true;
+    Datagrams = fleet::packNews(Told, m_LastLong);
+  }
+  sendToAll(Datagrams);
+  m_Follower.told(Range);
   m_Peers.toldAll(Now);
 }
 
@@ -334,26 +329,28 @@
   for (const auto &[Id, Text] : m_ServerTexts) {
     Whole.m_Servers.push_back({.m_Key = Id, .m_Value = Text});
   }
-  for (auto &Piece : fleet::cutSnapshot(++m_LastSnapshot, Whole)) {
-    send(std::string(Ip), std::move(Piece));
+  for (const std::string &Datagram : fleet::packNews(Whole, ++m_LastLong)) {
+    m_Link->send(std::string(Ip), Datagram);
   }
 }
 
-void FleetClient::on(std::string_view Ip, const fleet::SnapshotPiece &Message, TimePoint Now) {
-  const auto Whole = m_Pieces.take(Ip, Message);
-  if (!Whole) {
-    return;
+void FleetClient::on(std::string_view Ip, const fleet::Piece &Message, TimePoint /*Now*/) {
+  if (const auto Frame = m_Pieces.take(Ip, Message)) {
+    onDatagram(Ip, *Frame);
   }
+}
+
+void FleetClient::on(std::string_view Ip, const fleet::Snapshot &Message, TimePoint Now) {
   bool Changed =
-      !Whole->m_ConfigurationText.empty() && takeConfiguration(Whole->m_ConfigurationText);
-  if (Whole->m_ServersPosition > m_Follower.position(Stream::Servers).value_or(0)) {
+      !Message.m_ConfigurationText.empty() && takeConfiguration(Message.m_ConfigurationText);
+  if (Message.m_ServersPosition > m_Follower.position(Stream::Servers).value_or(0)) {
     std::vector<bool> Ignored;
     Changed =
         take(Stream::Servers,
-             {.m_To = Whole->m_ServersPosition, .m_Records = Whole->m_Servers, .m_IsWhole = true},
+             {.m_To = Message.m_ServersPosition, .m_Records = Message.m_Servers, .m_IsWhole = true},
              Ignored, Now) ||
         Changed;
-    m_Follower.jumpTo(Stream::Servers, Whole->m_ServersPosition);
+    m_Follower.jumpTo(Stream::Servers, Message.m_ServersPosition);
   }
   observe::log(LogLevel::Info, "snapshot_taken",
                {{"from", std::string(Ip)}, {"version", std::to_string(m_Catalog.version())}});
@@ -380,7 +377,7 @@
 
 void FleetClient::tellServerFailed(ServerId Server) {
   if (mayTell(Server, SystemClock().now())) {
-    sendToAll(fleet::ServerFailed{.m_Server = Server});
+    sendToAll(std::array{fleet::encodeNews(fleet::ServerFailed{.m_Server = Server})});
   }
 }
 
@@ -396,10 +393,11 @@
   return true;
 }
 
-void FleetClient::sendToAll(const fleet::News &Message) {
-  const std::string Datagram = fleet::encodeNews(Message);
+void FleetClient::sendToAll(std::span<const std::string> Datagrams) {
   for (const std::string &Ip : m_Peers.all()) {
-    m_Link->send(Ip, Datagram);
+    for (const std::string &Datagram : Datagrams) {
+      m_Link->send(Ip, Datagram);
+    }
   }
 }
 
