Probed: servers elsewhere are asked only after the near ones

Each first round asked one server elsewhere, and a reply of 5 kB from there costs a third of what the request earns. Test: unit-probed AsksServersElsewhereOnlyWhenNoneNearIsQuick.

--- a/include/vanillahill/kernel/probed/placement.hpp
+++ b/include/vanillahill/kernel/probed/placement.hpp
@@ -66,7 +66,8 @@
 /// \brief Expected seconds at a server with penalties for distance and failures.
 double costOf(const BackendView &Backend, const SearchTarget &Target, TimePoint Now);
 
-/// \brief Draws the servers that the next round of a search asks: near ones first, one elsewhere.
+/// \brief Draws the servers that the next round of a search asks: near ones first; from the second
+/// round on, one elsewhere.
 /// \param Backends all servers of the service
 /// \param Target the request
 /// \param Asked servers asked in earlier rounds
--- a/src/kernel/probed/placement.cpp
+++ b/src/kernel/probed/placement.cpp
@@ -99,9 +99,11 @@
   const std::size_t Sound = From.m_Near.size() + From.m_Far.size();
   // With most servers set aside, the failures say more of the path than of the servers.
   const bool AskAll = 2 * Sound < From.m_Preferred && Sound < ServersPerRound;
+  // Bytes between data centres cost: others are asked once the near ones were found to be slow.
+  const bool IsFirstRound = Asked.empty();
   while (Drawn.size() < ServersPerRound) {
-    const bool TakeFar =
-        !From.m_Far.empty() && (From.m_Near.empty() || Drawn.size() + 1 == ServersPerRound);
+    const bool IsLast = Drawn.size() + 1 == ServersPerRound;
+    const bool TakeFar = !From.m_Far.empty() && (From.m_Near.empty() || (IsLast && !IsFirstRound));
     if (TakeFar) {
       Drawn.push_back(draw(From.m_Far, Random));
     } else if (!From.m_Near.empty()) {
--- a/tests/probed_desk.hpp
+++ b/tests/probed_desk.hpp
@@ -32,6 +32,7 @@
   std::vector<RequestId> m_Got;
   /// Attempts that were cancelled there.
   std::size_t m_Cancelled = 0;
+  std::size_t m_Probed = 0;
 };
 
 /// Events of the fakes, in order of time.
@@ -166,6 +167,7 @@
 
   void probe(ServerId Server) {
     ++m_Probes;
+    ++m_Servers.at(Server).m_Probed;
     const FakeServer &Fake = m_Servers.at(Server);
     const Duration Takes = Fake.m_AnswersProbes ? milliseconds(2) : milliseconds(250);
     later(Takes, [this, Server](TimePoint Now) {
--- a/tests/unit-probed.cpp
+++ b/tests/unit-probed.cpp
@@ -329,6 +329,39 @@
   EXPECT_GE(Answered, 95U);
 }
 
+TEST(Probed, AsksServersElsewhereOnlyWhenNoneNearIsQuick) {
+  constexpr std::size_t Near = 6;
+  Desk Service(2 * Near, [](ServiceSettings &Settings) {
+    for (std::size_t Index = Near; Index < 2 * Near; ++Index) {
+      Settings.m_Servers[Index].m_DataCenter = "elsewhere";
+    }
+  });
+  const auto ProbesElsewhere = [&Service] {
+    std::size_t Probes = 0;
+    for (std::size_t Index = Near; Index < 2 * Near; ++Index) {
+      Probes += Service.server(Index).m_Probed;
+    }
+    return Probes;
+  };
+  for (int Round = 0; Round < 50; ++Round) {
+    Service.arrive(Desk::Look);
+    Service.advance(milliseconds(200));
+  }
+  EXPECT_EQ(ProbesElsewhere(), 0U);
+  for (std::size_t Index = 0; Index < Near; ++Index) {
+    Service.server(Index).m_Slowdown = 4.0;
+  }
+  std::size_t InTime = 0;
+  for (int Round = 0; Round < 50; ++Round) {
+    const RequestId Request = Service.arrive(Desk::Look);
+    Service.advance(milliseconds(150));
+    InTime += Service.isAnswered(Request) ? 1 : 0;
+    Service.advance(milliseconds(400));
+  }
+  EXPECT_GE(InTime, 45U);
+  EXPECT_GT(ProbesElsewhere(), 40U);
+}
+
 TEST(Probed, ADrainingServerGetsNothingNew) {
   Desk Service(3);
   Service.m_Settings.m_Servers[0].m_Leaving = true;
