Probed: the last slots of servers that slow down when nearly full are kept for requests that run once

Load pattern: a burst fills every slot. Change: a request that may be repeated is refused, and told when to come back, instead of taking such a slot; hedges do not take one either; one request in 16 does, to learn what it costs. What a nearly full server costs, and how much of a told slowdown work feels, are learnt from finished work (WorkEstimate); what a request takes from others that run there counts when servers are compared. The fake servers now queue what they cannot run.

--- a/include/vanillahill/kernel/probed/backend_view.hpp
+++ b/include/vanillahill/kernel/probed/backend_view.hpp
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "vanillahill/kernel/events.hpp"
-#include "vanillahill/kernel/ewma.hpp"
+#include "vanillahill/kernel/probed/work_estimate.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -17,8 +17,6 @@
 
 /// A server is nearly full from this share of its slots on.
 inline constexpr double NearlyFullShare = 0.75;
-/// Work takes longer by this factor at a server that is nearly full.
-inline constexpr double NearlyFullSlowdown = 1.5;
 /// Work takes longer by this factor at a server that has just started.
 inline constexpr double ColdSlowdown = 2.0;
 /// A load report older than this says nothing of the present.
@@ -125,24 +123,31 @@
     return std::max(Told != 0 ? Told : m_Settings.m_Slots, 1U);
   }
 
-  /// \brief How much longer than usual work that starts there now would take.
-  double slowdown(TimePoint Now) const {
-    double Factor = 1.0 + m_Slowness.value(Now);
-    if (m_Load) {
-      Factor *= m_Load->m_Slowdown;
-      Factor *= isNearlyFull() ? NearlyFullSlowdown : 1.0;
-    }
+  /// \brief How much longer work takes there for reasons that its reports do not tell.
+  double untoldFactor(TimePoint Now) const {
+    const double Factor = 1.0 + m_Slowness.value(Now);
     return Now < m_Settings.m_ColdUntil ? Factor * ColdSlowdown : Factor;
   }
 
+  /// \brief Slowdown that it last reported; 1 is usual.
+  double toldSlowdown() const { return m_Load ? m_Load->m_Slowdown : 1.0; }
+
   /// \brief Expected seconds until an answer of a request sent there now.
-  /// \param WorkSeconds usual time of the request's kind
-  double expectedSeconds(double WorkSeconds, TimePoint Now) const {
-    const double Work = WorkSeconds * slowdown(Now);
-    if (!isFull()) {
-      return Work;
+  double expectedSeconds(const WorkEstimate &Kind, TimePoint Now) const {
+    const double Work =
+        Kind.seconds() * Kind.factor(toldSlowdown(), isNearlyFull()) * untoldFactor(Now);
+    return isFull() ? Work + Work * (waiting() + 1.0) / slots() : Work;
+  }
+
+  /// \brief Seconds that one more request there takes from those that run already, because the
+  /// server becomes nearly full.
+  double secondsTakenFromOthers(const WorkEstimate &Kind) const {
+    if (!isNearlyFull()) {
+      return 0.0;
     }
-    return Work + Work * (waiting() + 1.0) / slots();
+    // On average half of their work is left.
+    constexpr double ShareLeft = 0.5;
+    return m_Load->m_Running * ShareLeft * Kind.seconds() * (Kind.nearlyFullFactor() - 1.0);
   }
 };
 
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -44,7 +44,6 @@
   std::optional<std::uint32_t> findKind(KindId Kind) const;
   BackendView *findBackend(ServerId Server);
   SearchTarget targetOf(const Request &Value) const;
-  double workSeconds(const Kind &Value) const;
 
   // Search for a server.
   void search(Request &Value, SearchFor Purpose, TimePoint Now, Actions &Out);
@@ -60,7 +59,8 @@
   void send(Request &Value, BackendIndex Index, TimePoint Now, Actions &Out);
 
   // Turning away.
-  bool hasRoom(const Request &Value, const Candidate &Best, TimePoint Now) const;
+  bool hasRoom(const Request &Value, const Candidate &Best, TimePoint Now);
+  bool isTrial();
   Duration timeUntilRoom(const Request &Value, const Candidate &Best, TimePoint Now);
 
   // Repeating.
--- a/include/vanillahill/kernel/probed/placement.hpp
+++ b/include/vanillahill/kernel/probed/placement.hpp
@@ -38,8 +38,8 @@
 
 /// What a search looks for.
 struct SearchTarget {
-  /// Usual time of the request's kind, seconds.
-  double m_WorkSeconds = 0.1;
+  /// Work of the request's kind.
+  const WorkEstimate &m_Work;
   bool m_Idempotent = false;
   /// Servers that had the request already.
   std::span<const ServerId> m_Tried;
@@ -63,7 +63,8 @@
   bool m_IsGood = false;
 };
 
-/// \brief Expected seconds at a server with penalties for distance and failures.
+/// \brief Expected seconds at a server, with what others lose and penalties for distance and
+/// failures.
 double costOf(const BackendView &Backend, const SearchTarget &Target, TimePoint Now);
 
 /// \brief Draws the servers that the next round of a search asks: near ones first; from the second
--- a/include/vanillahill/kernel/probed/request.hpp
+++ b/include/vanillahill/kernel/probed/request.hpp
@@ -14,8 +14,7 @@
 /// One kind of request with what was learnt of it.
 struct Kind {
   KindSettings m_Settings;
-  /// Usual time of its work at a server that is neither slow nor nearly full, seconds.
-  Ewma m_WorkSeconds{0.1, 0.05};
+  WorkEstimate m_Work;
 };
 
 /// Why a request looks for a server.
@@ -46,8 +45,9 @@
   std::uint32_t m_Kind = 0;
   ServerId m_Server{};
   TimePoint m_Started{};
-  /// How much longer than usual the work was expected to take.
-  double m_ExpectedSlowdown = 1.0;
+  /// What the server told and what else was expected there when it was sent.
+  double m_ToldSlowdown = 1.0;
+  double m_UntoldFactor = 1.0;
   /// Most slots of the server were taken when it was sent.
   bool m_WasNearlyFull = false;
   /// Paid for from the retry budget.
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -71,11 +71,16 @@
 
 void Dispatcher::assignKinds() {
   for (const KindSettings &Settings : m_Settings.m_Kinds) {
+    // Before the first answer: an operator sets targets to a small multiple of the work.
+    constexpr double TargetToWork = 0.4;
     if (const auto Known = findKind(Settings.m_Id)) {
       m_Kinds[*Known].m_Settings = Settings;
       continue;
     }
     m_Kinds.push_back({.m_Settings = Settings});
+    if (Settings.m_TargetLatency > Duration::zero()) {
+      m_Kinds.back().m_Work.assume(inSeconds(Settings.m_TargetLatency) * TargetToWork);
+    }
     m_Counters.push_back({.m_Service = m_Settings.m_Id,
                           .m_Kind = Settings.m_Id,
                           .m_Name = m_Settings.m_Name + "/" + Settings.m_Name});
@@ -99,19 +104,9 @@
   return Found == m_Backends.end() ? nullptr : &*Found;
 }
 
-double Dispatcher::workSeconds(const Kind &Value) const {
-  // Before the first answer: an operator sets targets to a small multiple of the work.
-  constexpr double TargetToWork = 0.4;
-  const Duration Target = Value.m_Settings.m_TargetLatency;
-  if (Value.m_WorkSeconds.empty() && Target > Duration::zero()) {
-    return inSeconds(Target) * TargetToWork;
-  }
-  return Value.m_WorkSeconds.value();
-}
-
 SearchTarget Dispatcher::targetOf(const Request &Value) const {
   const Kind &Wanted = m_Kinds[Value.m_Kind];
-  return {.m_WorkSeconds = workSeconds(Wanted),
+  return {.m_Work = Wanted.m_Work,
           .m_Idempotent = Wanted.m_Settings.m_Idempotent,
           .m_Tried = {Value.m_Tried.data(), Value.m_Tried.size()}};
 }
@@ -241,23 +236,35 @@
   giveUp(Value, Now, Out);
 }
 
-bool Dispatcher::hasRoom(const Request &Value, const Candidate &Best, TimePoint Now) const {
+/// Whether a request is sent to a nearly full server all the same, to learn what that costs.
+bool Dispatcher::isTrial() {
+  constexpr double TrialShare = 1.0 / 16.0;
+  return std::bernoulli_distribution(TrialShare)(m_Context.m_Random);
+}
+
+bool Dispatcher::hasRoom(const Request &Value, const Candidate &Best, TimePoint Now) {
   const BackendView &Backend = m_Backends[Best.m_Backend];
+  const Kind &Wanted = m_Kinds[Value.m_Kind];
+  const bool IsIdempotent = Wanted.m_Settings.m_Idempotent;
+  // The last slots are for requests that must not run twice. If all took them, servers would slow
+  // down so much that they do less, and stay full after the burst that filled them.
+  const bool Loses = Backend.isNearlyFull() && Wanted.m_Work.losesByFilling(NearlyFullShare);
+  if (IsIdempotent && Loses && !isTrial()) {
+    return false;
+  }
   if (!Backend.isFull()) {
     return true;
   }
-  // A request that must not run twice goes before others: it may wait in a longer queue.
-  const Kind &Wanted = m_Kinds[Value.m_Kind];
-  const double MostWaiting = Wanted.m_Settings.m_Idempotent ? 0.5 : 1.0;
+  const double MostWaiting = IsIdempotent ? 0.5 : 1.0;
   const bool IsShort = Backend.waiting() < MostWaiting * Backend.slots();
-  const double Expected = Backend.expectedSeconds(workSeconds(Wanted), Now);
+  const double Expected = Backend.expectedSeconds(Wanted.m_Work, Now);
   return IsShort && Now + seconds(Expected) < Value.m_Deadline;
 }
 
 Duration Dispatcher::timeUntilRoom(const Request &Value, const Candidate &Best, TimePoint Now) {
   const BackendView &Backend = m_Backends[Best.m_Backend];
-  const double Work = workSeconds(m_Kinds[Value.m_Kind]);
-  const double QueueSeconds = Backend.expectedSeconds(Work, Now) - Work;
+  const WorkEstimate &Work = m_Kinds[Value.m_Kind].m_Work;
+  const double QueueSeconds = Backend.expectedSeconds(Work, Now) - Work.seconds();
   std::uniform_real_distribution<double> Spread(0.5, 1.5);
   constexpr double ShortestSeconds = 0.1;
   return seconds(std::max(QueueSeconds, ShortestSeconds) * Spread(m_Context.m_Random));
@@ -285,7 +292,8 @@
                      .m_Kind = Value.m_Kind,
                      .m_Server = Backend.m_Settings.m_Id,
                      .m_Started = Now,
-                     .m_ExpectedSlowdown = Backend.slowdown(Now),
+                     .m_ToldSlowdown = Backend.toldSlowdown(),
+                     .m_UntoldFactor = Backend.untoldFactor(Now),
                      .m_WasNearlyFull = Backend.isNearlyFull(),
                      .m_IsPaid = Value.m_Purpose != SearchFor::FirstSend};
   Decision Made = about(Value.m_Purpose == SearchFor::FirstSend ? DecisionType::Placed
@@ -293,7 +301,7 @@
                                                                 : DecisionType::Hedged,
                         Value, Now);
   describe(Made, Backend, Now);
-  Made.m_Expected = seconds(Backend.expectedSeconds(workSeconds(m_Kinds[Value.m_Kind]), Now));
+  Made.m_Expected = seconds(Backend.expectedSeconds(m_Kinds[Value.m_Kind].m_Work, Now));
   Made.m_Asked = m_LastAsked;
   Out.push_back(std::move(Made));
   Backend.countSent();
@@ -319,7 +327,7 @@
   constexpr double EarliestMultiple = 1.1;
   constexpr double SecondMultiple = 1.3;
   constexpr Duration CallerTransit = std::chrono::milliseconds(30);
-  const double Work = workSeconds(Wanted);
+  const double Work = Wanted.m_Work.seconds();
   const TimePoint Latest =
       Value.m_Arrived + Target - CallerTransit - seconds(Work * SecondMultiple);
   const TimePoint Earliest = Now + seconds(Work * EarliestMultiple);
@@ -351,8 +359,8 @@
     }
     return;
   }
-  const bool HasSlot = Best && !m_Backends[Best->m_Backend].isFull();
-  const double Work = workSeconds(m_Kinds[Value.m_Kind]);
+  const bool HasSlot = Best && !m_Backends[Best->m_Backend].isNearlyFull();
+  const double Work = m_Kinds[Value.m_Kind].m_Work.seconds();
   constexpr double WorthMultiple = 2.0;
   if (!HasSlot || Best->m_Cost > WorthMultiple * Work || !m_Budget.take()) {
     return;
@@ -480,7 +488,8 @@
 void Dispatcher::noteTime(BackendView &Backend, const Attempt &Sent, TimePoint Now) {
   Kind &Learnt = m_Kinds[Sent.m_Kind];
   const double Took = inSeconds(Now - Sent.m_Started);
-  const double Usual = workSeconds(Learnt) * Sent.m_ExpectedSlowdown;
+  const double Usual = Learnt.m_Work.seconds() * Sent.m_UntoldFactor *
+                       Learnt.m_Work.factor(Sent.m_ToldSlowdown, Sent.m_WasNearlyFull);
   constexpr double MostSlowness = 8.0;
   const double Excess = std::clamp(Took / Usual - 1.0, 0.0, MostSlowness);
   constexpr double NewShare = 0.5;
@@ -490,7 +499,10 @@
     Backend.m_Slowness.set(Known + NewShare * (Excess - Known), Now);
   }
   if (!Sent.m_Cancelled) {
-    Learnt.m_WorkSeconds.add(Took / Sent.m_ExpectedSlowdown);
+    Learnt.m_Work.learn({.m_Seconds = Took,
+                         .m_Slowdown = Sent.m_ToldSlowdown,
+                         .m_WasNearlyFull = Sent.m_WasNearlyFull,
+                         .m_OtherFactor = Sent.m_UntoldFactor});
   }
 }
 
@@ -536,7 +548,7 @@
   } else if (Value.m_Tried.size() >= Most) {
     return false;
   }
-  const bool HasTime = Now + seconds(workSeconds(Wanted)) < Value.m_Deadline;
+  const bool HasTime = Now + seconds(Wanted.m_Work.seconds()) < Value.m_Deadline;
   if (!HasTime || !anyUsable(m_Backends, targetOf(Value)) || (PaysToken && !m_Budget.take())) {
     return false;
   }
--- a/src/kernel/probed/placement.cpp
+++ b/src/kernel/probed/placement.cpp
@@ -85,10 +85,11 @@
 }
 
 double costOf(const BackendView &Backend, const SearchTarget &Target, TimePoint Now) {
-  const double Expected = Backend.expectedSeconds(Target.m_WorkSeconds, Now);
+  const double Expected = Backend.expectedSeconds(Target.m_Work, Now);
   const double Failures = Backend.m_Failures.value(Now);
-  const double Far = Backend.m_IsNear ? 0.0 : FarPenalty * Target.m_WorkSeconds;
-  return Expected * (1.0 + FailurePenalty * Failures) + Far;
+  const double Far = Backend.m_IsNear ? 0.0 : FarPenalty * Target.m_Work.seconds();
+  const double Taken = Backend.secondsTakenFromOthers(Target.m_Work);
+  return Expected * (1.0 + FailurePenalty * Failures) + Far + Taken;
 }
 
 boost::container::static_vector<BackendIndex, ServersPerRound>
@@ -131,7 +132,7 @@
     if (!Best || Cost < Best->m_Cost) {
       Best = Candidate{.m_Backend = Index,
                        .m_Cost = Cost,
-                       .m_IsGood = Cost <= GoodMultiple * Target.m_WorkSeconds};
+                       .m_IsGood = Cost <= GoodMultiple * Target.m_Work.seconds()};
     }
   }
   return Best;
--- a/tests/probed_desk.hpp
+++ b/tests/probed_desk.hpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <queue>
@@ -23,11 +24,15 @@
   std::uint32_t m_Running = 0;
   std::uint32_t m_Waiting = 0;
   double m_Slowdown = 1.0;
+  /// Work that starts when more than three quarters of the slots are taken takes longer by this.
+  double m_CrowdedFactor = 1.0;
   Duration m_Work = milliseconds(100);
   bool m_AnswersProbes = true;
   bool m_TellsLoad = true;
   AttemptResult m_Result = AttemptResult::Completed;
   std::uint32_t m_Status = 200;
+  /// Attempts that wait there for a slot.
+  std::deque<AttemptId> m_Queue;
   /// Attempts that it got.
   std::vector<RequestId> m_Got;
   /// Attempts that were cancelled there.
@@ -186,7 +191,7 @@
 
   static LoadReport loadOf(const FakeServer &Fake) {
     return {.m_Running = Fake.m_Running,
-            .m_Waiting = Fake.m_Waiting,
+            .m_Waiting = Fake.m_Waiting + static_cast<std::uint32_t>(Fake.m_Queue.size()),
             .m_Slots = Fake.m_Slots,
             .m_Slowdown = Fake.m_Slowdown};
   }
@@ -194,11 +199,20 @@
   void dispatch(const Dispatch &Sent) {
     FakeServer &Fake = m_Servers.at(Sent.m_Server);
     Fake.m_Got.push_back(Sent.m_Request);
-    ++Fake.m_Running;
     m_Running.emplace(Sent.m_Attempt, Sent.m_Server);
-    const double Factor = Fake.m_Slowdown;
+    if (Fake.m_Running < Fake.m_Slots) {
+      begin(Fake, Sent.m_Attempt);
+    } else {
+      Fake.m_Queue.push_back(Sent.m_Attempt);
+    }
+  }
+
+  void begin(FakeServer &Fake, AttemptId Attempt) {
+    ++Fake.m_Running;
+    const bool IsCrowded = 4 * Fake.m_Running > 3 * Fake.m_Slots;
+    const double Factor = Fake.m_Slowdown * (IsCrowded ? Fake.m_CrowdedFactor : 1.0);
     const auto Takes = std::chrono::duration_cast<Duration>(Fake.m_Work * Factor);
-    later(Takes, [this, Attempt = Sent.m_Attempt](TimePoint Now) { end(Attempt, Now, false); });
+    later(Takes, [this, Attempt](TimePoint Now) { end(Attempt, Now, false); });
   }
 
   void cancel(AttemptId Attempt) {
@@ -215,7 +229,14 @@
     }
     FakeServer &Fake = m_Servers.at(Found->second);
     m_Running.erase(Found);
-    --Fake.m_Running;
+    if (std::erase(Fake.m_Queue, Attempt) == 0) {
+      --Fake.m_Running;
+      if (!Fake.m_Queue.empty()) {
+        const AttemptId Next = Fake.m_Queue.front();
+        Fake.m_Queue.pop_front();
+        begin(Fake, Next);
+      }
+    }
     AttemptEnded Ended{.m_Attempt = Attempt,
                        .m_Result = WasCancelled ? AttemptResult::Unknown : Fake.m_Result};
     if (Ended.m_Result == AttemptResult::Completed) {
--- a/tests/unit-probed.cpp
+++ b/tests/unit-probed.cpp
@@ -62,6 +62,78 @@
   EXPECT_EQ(Service.attemptsOf(Request), 0U);
 }
 
+/// Requests a second, and the share of them answered within their target, of a steady load that
+/// servers can just carry below three quarters of their slots, after a burst that filled them.
+double shareInTimeAfterABurst(double CrowdedFactor) {
+  constexpr std::size_t Servers = 6;
+  Desk Service(Servers);
+  for (std::size_t Index = 0; Index < Servers; ++Index) {
+    Service.server(Index).m_CrowdedFactor = CrowdedFactor;
+  }
+  for (int Request = 0; Request < 400; ++Request) {
+    Service.arrive(Desk::Look);
+    Service.advance(std::chrono::microseconds(2500));
+  }
+  std::vector<RequestId> Steady;
+  std::size_t InTime = 0;
+  constexpr std::size_t Later = 40;
+  for (std::size_t Request = 0; Request < 600; ++Request) {
+    Steady.push_back(Service.arrive(Desk::Look));
+    Service.advance(std::chrono::microseconds(6250));
+    // 40 requests later the target of 250 ms has passed.
+    if (Request >= Later) {
+      const RequestId Earlier = Steady[Request - Later];
+      const bool IsServed =
+          Service.isAnswered(Earlier) && Service.answerOf(Earlier).m_Outcome == Outcome::Completed;
+      InTime += IsServed ? 1 : 0;
+    }
+  }
+  return static_cast<double>(InTime) / static_cast<double>(Steady.size() - Later);
+}
+
+TEST(Probed, ServersThatSlowDownWhenNearlyFullRecoverFromABurst) {
+  EXPECT_GE(shareInTimeAfterABurst(1.7), 0.9);
+}
+
+TEST(Probed, TheLastSlotsAreUsedWhereTheyCostNothing) {
+  constexpr std::size_t Servers = 4;
+  Desk Service(Servers);
+  for (std::size_t Index = 0; Index < Servers; ++Index) {
+    Service.server(Index).m_Work = milliseconds(200);
+  }
+  // More than three quarters of what the slots carry, for long enough to learn.
+  std::size_t Served = 0;
+  constexpr std::size_t Requests = 4000;
+  std::vector<RequestId> Sent;
+  for (std::size_t Request = 0; Request < Requests; ++Request) {
+    Sent.push_back(Service.arrive(Desk::Look));
+    Service.advance(std::chrono::microseconds(13500));
+  }
+  Service.advance(seconds(1));
+  for (std::size_t Request = Requests / 2; Request < Requests; ++Request) {
+    Served += Service.answerOf(Sent[Request]).m_Outcome == Outcome::Completed ? 1 : 0;
+  }
+  // Offered: 74 a second; below three quarters of the slots 60 a second fit.
+  EXPECT_GE(Served, Requests / 2 * 9 / 10);
+}
+
+TEST(Probed, TheLastSlotsAreForRequestsThatMustNotRunTwice) {
+  Desk Service(3);
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    Service.server(Index).m_Running = 3;
+  }
+  const RequestId Urgent = Service.arrive(Desk::Post);
+  Service.advance(milliseconds(20));
+  EXPECT_EQ(Service.attemptsOf(Urgent), 1U);
+  std::size_t Refused = 0;
+  for (int Round = 0; Round < 16; ++Round) {
+    const RequestId Other = Service.arrive(Desk::Look);
+    Service.advance(milliseconds(20));
+    Refused += Service.attemptsOf(Other) == 0 ? 1 : 0;
+  }
+  EXPECT_GE(Refused, 12U);
+}
+
 TEST(Probed, TellsCallersToComeBackAtDifferentTimes) {
   Desk Service(3);
   for (std::size_t Index = 0; Index < 3; ++Index) {
