--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -76,6 +76,8 @@
   void missDeadline(Request &Value, TimePoint Now, Actions &Out);
   void complete(Request &Value, const ReplyPtr &Whole, TimePoint Now, Actions &Out);
   void refuse(Request &Value, Reason Why, Duration RetryAfter, TimePoint Now, Actions &Out);
+  void refuseFull(Request &Value, const Candidate &Best, TimePoint Now, Actions &Out);
+  void answerRefused(Request &Value, Reason Why, Duration RetryAfter, Actions &Out);
   void finish(Request &Value, Actions &Out);
   void checkInvariants() const;
 
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -224,7 +224,7 @@
     } else if (Value.m_MayHaveRun || Value.m_FailedReply) {
       giveUp(Value, Now, Out);
     } else {
-      refuse(Value, Reason::Overload, timeUntilRoom(Value, *Best, Now), Now, Out);
+      refuseFull(Value, *Best, Now, Out);
     }
     return;
   }
@@ -238,7 +238,7 @@
 
 /// Whether a request is sent to a nearly full server all the same, to learn what that costs.
 bool Dispatcher::isTrial() {
-  constexpr double TrialShare = 1.0 / 16.0;
+  constexpr double TrialShare = 1.0 / 64.0;
   return std::bernoulli_distribution(TrialShare)(m_Context.m_Random);
 }
 
@@ -674,6 +674,16 @@
   finish(Value, Out);
 }
 
+/// Refuses a request because the best server that was found has no room either.
+void Dispatcher::refuseFull(Request &Value, const Candidate &Best, TimePoint Now, Actions &Out) {
+  Decision Made = about(DecisionType::Refused, Value, Now);
+  Made.m_Outcome = toString(Reason::Overload);
+  Made.m_Asked = m_LastAsked;
+  describe(Made, m_Backends[Best.m_Backend], Now);
+  Out.push_back(std::move(Made));
+  answerRefused(Value, Reason::Overload, timeUntilRoom(Value, Best, Now), Out);
+}
+
 void Dispatcher::refuse(Request &Value, Reason Why, Duration RetryAfter, TimePoint Now,
                         Actions &Out) {
   Decision Made = about(DecisionType::Refused, Value, Now);
@@ -684,6 +694,10 @@
     }
   }
   Out.push_back(std::move(Made));
+  answerRefused(Value, Why, RetryAfter, Out);
+}
+
+void Dispatcher::answerRefused(Request &Value, Reason Why, Duration RetryAfter, Actions &Out) {
   const bool MayHaveRun = Value.m_MayHaveRun || !Value.m_Running.empty();
   KindCounters &Counters = m_Counters[Value.m_Kind];
   ++(MayHaveRun ? Counters.m_Unknown : Counters.m_NotRun)[static_cast<std::size_t>(Why)];
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -22,6 +22,11 @@
     async def start(self, host, port):
         self.server = await asyncio.start_server(self.accept, host, port)
 
+    def close(self):
+        self.set()
+        self.server.close()
+        self.reset()
+
     def set(self, delay=0.0, hold_forward=False, hold_back=False, refuses=False):
         self.delay = delay
         self.hold_forward = hold_forward
@@ -45,8 +50,11 @@
             writer.transport.abort()
             return
         self.writers.update((writer, far_writer))
-        await asyncio.gather(self.pump(reader, far_writer, "hold_forward"),
-                             self.pump(far_reader, writer, "hold_back"))
+        try:
+            await asyncio.gather(self.pump(reader, far_writer, "hold_forward"),
+                                 self.pump(far_reader, writer, "hold_back"))
+        except asyncio.CancelledError:
+            pass
         self.writers.difference_update((writer, far_writer))
 
     async def pump(self, reader, writer, hold):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -227,12 +227,20 @@
         for vm in self.vms:
             self.span(vm.name, 0.0)
 
-    def close(self):
+    async def close(self):
         self.ended = True
         for vm in self.vms:
             if vm.process is not None and vm.process.poll() is None:
                 vm.process.kill()
                 vm.process.wait()
+        for server in self.servers:
+            await server.crash()
+        self.store.close()
+        for proxy in [*self.proxies.values(), *(vm.callers for vm in self.vms),
+                      *(vm.store for vm in self.vms)]:
+            proxy.close()
+        # Connections that were aborted end in the next turns of the loop.
+        await asyncio.sleep(0.05)
 
 
 class Faults:
@@ -468,7 +476,7 @@
         await asyncio.wait(callers, timeout=5.0)
         await asyncio.wait(watchers, timeout=5.0)
     finally:
-        world.close()
+        await world.close()
     violations = Checker(world.history).check()
     violations += [("SOAK", text) for text in faults.failures]
     return world, violations
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -41,6 +41,11 @@
     async def start(self, host, port):
         self.server = await asyncio.start_server(self.serve, host, port)
 
+    def close(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def put(self, topic, key, value):
         """Appends a record and returns when it was acknowledged."""
         self.topics[topic].records.append((key, value))
--- a/tests/unit-platform-decode.cpp
+++ b/tests/unit-platform-decode.cpp
@@ -68,6 +68,23 @@
   EXPECT_FALSE(decodeProcessSettings(replaced(SettingsText, "[\"10.0.0.9:5\"]", "[7]")));
 }
 
+TEST(PlatformDecode, AllFaultsInTheSettingsAreToldAtOnce) {
+  std::string Text = replaced(SettingsText, "\"4s\"", "4");
+  Text = replaced(Text, "\"cores\": 3", "\"cores\": 0");
+  Text = replaced(Text, "\"listen\"", "\"other\"");
+  Text = replaced(Text, "[7000, 7009]", "[70000]");
+  const Error Fault = decodeProcessSettings(Text).error();
+  EXPECT_EQ(Fault.m_Peer, "network.listen");
+  for (const std::string_view Told :
+       {"is missing", "self.limits.cores expected a number from 1 to 1000000000, found 0",
+        "terms.bounds.grace expected text, found 4",
+        "network.internal_port_range expected two ports up to 65535, found [70000]"}) {
+    EXPECT_NE(Fault.m_Detail.find(Told), std::string::npos) << Fault.m_Detail;
+  }
+  EXPECT_EQ(Fault.m_Detail.find("network.listen.front"), std::string::npos)
+      << "what is in a missing object is not told too";
+}
+
 TEST(PlatformDecode, ReadsAConfiguration) {
   const auto Read = decodeConfiguration(ConfigurationText).value();
   EXPECT_EQ(Read.m_Version, 41U);
