Requests without a route or before the first configuration are logged with their id

They were counted but left no line, so that a caller's 404 could not be traced to the version in force. Test: soak-operations test_unknown_route.

--- a/include/vanillahill/net/detail/caller_request.hpp
+++ b/include/vanillahill/net/detail/caller_request.hpp
@@ -76,6 +76,8 @@
 struct ParsedRequest {
   CallerRequestPtr m_Request;
   CallerFault m_Fault = CallerFault::None;
+  /// The caller's own id of a refused request; empty when it gave none.
+  std::string m_CallerId = {};
 };
 
 /// \brief Reads a caller's request.
--- a/include/vanillahill/net/detail/caller_server.hpp
+++ b/include/vanillahill/net/detail/caller_server.hpp
@@ -22,6 +22,12 @@
                const Dialect &Speech = ownDialect());
   ~CallerServer();
 
+  /// Takes note of a request that is refused before the kernel sees it.
+  using RefusalSink = std::function<void(std::string_view CallerId, CallerFault Why)>;
+
+  /// \brief Sets who is told of refused requests. Called before start().
+  void onRefusal(RefusalSink Sink) { m_OnRefusal = std::move(Sink); }
+
   /// \brief Begins to accept and to watch for slow callers.
   void start();
 
@@ -74,6 +80,7 @@
   Acceptor m_Acceptor;
   Timer m_WatchTimer;
   EventSink m_Post;
+  RefusalSink m_OnRefusal;
   observe::Metrics &m_Metrics;
   const Dialect &m_Dialect;
   std::uint16_t m_Port = 0;
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -130,6 +130,9 @@
   const auto Routes = m_Server->routes();
   auto Parsed = m_Server->m_Dialect.m_ParseRequest(std::move(Message), Routes.get());
   if (Parsed.m_Fault != CallerFault::None) {
+    if (m_Server->m_OnRefusal) {
+      m_Server->m_OnRefusal(Parsed.m_CallerId, Parsed.m_Fault);
+    }
     refuse(Parsed.m_Fault);
     return;
   }
--- a/tests/soak/test_operations.py
+++ b/tests/soak/test_operations.py
@@ -117,6 +117,15 @@
         self.assertEqual("attempt_lost", own["request_refused"]["outcome"])
         self.check_page("Failed although the server was well", lines)
 
+    async def test_unknown_route(self):
+        answer = await self.ask("/none/1", "lost-1")
+        self.assertEqual(404, answer.status)
+        lines = await self.lines(lambda line: line.get("request") == "lost-1")
+        own = next(line for line in lines if line.get("request") == "lost-1")
+        self.assertEqual("request_refused", own["event"])
+        self.assertEqual(str(self.world.version), own["config"])
+        self.assertIn("kind", own["outcome"])
+
     async def test_handled_by_an_old_configuration(self):
         before = self.world.version
         self.vm.store.set(hold_back=True)
