--- a/tests/soak/http1.py
+++ b/tests/soak/http1.py
@@ -55,6 +55,23 @@
     return Message(lines[0], headers, await read_body(reader, headers))
 
 
+async def serve(reader, writer, writers, answer):
+    """Answers the requests of one connection until it ends or answer(request, writer) is False."""
+    writers.add(writer)
+    try:
+        while True:
+            request = await read_message(reader)
+            if request is None or not await answer(request, writer):
+                break
+    except (ProtocolError, ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError,
+            ValueError):
+        # The other side or a fault of the soak ended it.
+        pass
+    finally:
+        writers.discard(writer)
+        writer.close()
+
+
 async def read_body(reader, headers):
     if headers.get("transfer-encoding", "").lower() == "chunked":
         return await read_chunks(reader)
