Servers, services and kinds have identifiers that no other name has

Cause: two of 381 servers had the same 32-bit hash, so that requests of one service went over connections to a server of the other. Ruled out: other writers' entries, an old listing, a split. Change: IdRegistry keeps names apart; the catalog asks it for every identifier.

--- a/include/vanillahill/fleet/catalog.hpp
+++ b/include/vanillahill/fleet/catalog.hpp
@@ -2,6 +2,7 @@
 /// What a store tells of a fleet: the configuration and the backend servers, as one VM knows them.
 #pragma once
 
+#include "vanillahill/core/id_registry.hpp"
 #include "vanillahill/fleet/lapse_watch.hpp"
 #include "vanillahill/settings/settings.hpp"
 
@@ -135,6 +136,7 @@
   struct Known {
     ServerEntry m_Entry;
     TimePoint m_ColdUntil{};
+    ServerId m_Id{};
   };
   /// The last record of a server that left.
   struct Departed {
@@ -143,12 +145,17 @@
   };
 
   ServiceSettings serviceSettings(const Service &Listed) const;
+  KindSettings kindSettings(const Route &Value, std::string_view Service) const;
   std::uint32_t reservedFleetSize() const;
   void removeNow(std::string_view Id);
 
   CatalogOptions m_Options;
   std::optional<Configuration> m_Configuration;
   std::map<std::string, Known, std::less<>> m_Servers;
+  /// Identifiers of servers' lives, and of every service and kind that was ever configured.
+  IdRegistry<ServerId> m_ServerIds;
+  IdRegistry<ServiceId> m_ServiceIds;
+  IdRegistry<KindId> m_KindIds;
   std::map<std::string, Departed, std::less<>> m_Departed;
   /// Servers whose removal waits, with when it is due.
   std::map<std::string, TimePoint, std::less<>> m_Lapsed;
--- a/src/fleet/catalog.cpp
+++ b/src/fleet/catalog.cpp
@@ -22,16 +22,9 @@
   return Born != KnownBorn ? Born > KnownBorn : Sequence > KnownSequence;
 }
 
-KindSettings kindSettings(const Route &Value, std::string_view Service) {
-  const std::string Name = kindName(Value, Service);
-  return {.m_Id = idOf<KindId>(Name),
-          .m_Name = Value.m_Name,
-          .m_Weight = 1.0 / (1.0 + Value.m_Priority),
-          .m_Deadline = Value.m_Timeout,
-          .m_Idempotent = Value.m_Idempotent,
-          .m_TargetLatency = Value.m_TargetLatency,
-          .m_Priority = Value.m_Priority,
-          .m_MaxAttempts = Value.m_MaxAttempts};
+/// Another life of a server shares nothing with the one before.
+std::string lifeOf(const ServerEntry &Entry) {
+  return Entry.m_Id + "#" + std::to_string(Entry.m_BornMillis);
 }
 
 } // namespace
@@ -41,6 +34,15 @@
     return false;
   }
   m_Configuration = std::move(Next);
+  for (const Service &Listed : m_Configuration->m_Services) {
+    m_ServiceIds.of(Listed.m_Name);
+  }
+  for (const Route &Listed : m_Configuration->m_Routes) {
+    for (const TrafficShare &Share : Listed.m_Shares) {
+      m_ServiceIds.of(Share.m_Service);
+      m_KindIds.of(kindName(Listed, Share.m_Service));
+    }
+  }
   return true;
 }
 
@@ -55,7 +57,9 @@
   }
   const auto Found = m_Servers.find(Entry.m_Id);
   if (Found == m_Servers.end()) {
-    m_Servers.emplace(Entry.m_Id, Known{.m_Entry = Entry, .m_ColdUntil = Now + Entry.m_ColdFor});
+    m_Servers.emplace(Entry.m_Id, Known{.m_Entry = Entry,
+                                        .m_ColdUntil = Now + Entry.m_ColdFor,
+                                        .m_Id = m_ServerIds.of(lifeOf(Entry))});
     return true;
   }
   Known &Old = Found->second;
@@ -69,7 +73,12 @@
       !SameLife || Entry.m_Draining != Old.m_Entry.m_Draining ||
       Entry.m_Address != Old.m_Entry.m_Address || Entry.m_Service != Old.m_Entry.m_Service ||
       Entry.m_Slots != Old.m_Entry.m_Slots || Entry.m_DataCenter != Old.m_Entry.m_DataCenter;
-  Old = Known{.m_Entry = Entry, .m_ColdUntil = Now + Entry.m_ColdFor};
+  if (!SameLife) {
+    m_ServerIds.release(lifeOf(Old.m_Entry));
+  }
+  Old = Known{.m_Entry = Entry,
+              .m_ColdUntil = Now + Entry.m_ColdFor,
+              .m_Id = m_ServerIds.of(lifeOf(Entry))};
   return Changed;
 }
 
@@ -89,6 +98,7 @@
 
 void Catalog::removeNow(std::string_view Id) {
   const auto Found = m_Servers.find(Id);
+  m_ServerIds.release(lifeOf(Found->second.m_Entry));
   if (m_Departed.size() >= MostDeparted) {
     m_Departed.clear();
   }
@@ -157,8 +167,8 @@
   for (const Route &Listed : m_Configuration->m_Routes) {
     RouteSettings Added{.m_Host = Listed.m_Host, .m_PathPrefix = Listed.m_PathPrefix};
     for (const TrafficShare &Share : Listed.m_Shares) {
-      Added.m_Shares.push_back({.m_Service = idOf<ServiceId>(Share.m_Service),
-                                .m_Kind = idOf<KindId>(kindName(Listed, Share.m_Service)),
+      Added.m_Shares.push_back({.m_Service = m_ServiceIds.at(Share.m_Service),
+                                .m_Kind = m_KindIds.at(kindName(Listed, Share.m_Service)),
                                 .m_Weight = Share.m_Weight});
     }
     Made->m_Routes.push_back(std::move(Added));
@@ -170,8 +180,19 @@
   return m_FleetSize + m_FleetSize / FleetReserveDivisor + 1;
 }
 
+KindSettings Catalog::kindSettings(const Route &Value, std::string_view Service) const {
+  return {.m_Id = m_KindIds.at(kindName(Value, Service)),
+          .m_Name = Value.m_Name,
+          .m_Weight = 1.0 / (1.0 + Value.m_Priority),
+          .m_Deadline = Value.m_Timeout,
+          .m_Idempotent = Value.m_Idempotent,
+          .m_TargetLatency = Value.m_TargetLatency,
+          .m_Priority = Value.m_Priority,
+          .m_MaxAttempts = Value.m_MaxAttempts};
+}
+
 ServiceSettings Catalog::serviceSettings(const Service &Listed) const {
-  ServiceSettings Made{.m_Id = idOf<ServiceId>(Listed.m_Name),
+  ServiceSettings Made{.m_Id = m_ServiceIds.at(Listed.m_Name),
                        .m_Name = Listed.m_Name,
                        .m_Policy = {.m_Name = m_Options.m_Policy,
                                     .m_RetryRatio = m_Options.m_RetryRatio,
@@ -189,9 +210,7 @@
     if (Entry.m_Service != Listed.m_Name) {
       continue;
     }
-    // Another life of a server shares nothing with the one before.
-    const std::string Life = Id + "#" + std::to_string(Entry.m_BornMillis);
-    Made.m_Servers.push_back({.m_Id = idOf<ServerId>(Life),
+    Made.m_Servers.push_back({.m_Id = Server.m_Id,
                               .m_Name = Id,
                               .m_Address = Entry.m_Address,
                               .m_DataCenter = Entry.m_DataCenter,
--- a/tests/unit-catalog.cpp
+++ b/tests/unit-catalog.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace vanillahill::fleet {
 namespace {
 
@@ -37,6 +39,49 @@
   return Made;
 }
 
+/// Two names whose hashes are the same; a day of the bench had them.
+constexpr const char *OneName = "i-8a82604507";
+constexpr const char *OtherName = "i-110525832c";
+
+ServerEntry born0(std::string Id, std::string Service) {
+  ServerEntry Made = entry(std::move(Id), 1);
+  Made.m_Service = std::move(Service);
+  Made.m_BornMillis = 0;
+  return Made;
+}
+
+TEST(Catalog, ServersWhoseNamesHaveTheSameHashAreKeptApart) {
+  ASSERT_EQ(idOf<ServerId>(std::string(OneName) + "#0"),
+            idOf<ServerId>(std::string(OtherName) + "#0"));
+  Catalog Known;
+  Known.apply(configuration(4));
+  Known.apply(born0(OneName, "desk"), Start);
+  Known.apply(born0(OtherName, "view"), Start);
+  const auto Both = Known.settings();
+  const ServerId One = Both->m_Services[0].m_Servers.at(0).m_Id;
+  const ServerId Other = Both->m_Services[1].m_Servers.at(0).m_Id;
+  EXPECT_NE(One, Other);
+  Known.remove(OneName, Start);
+  EXPECT_EQ(Known.settings()->m_Services[1].m_Servers.at(0).m_Id, Other)
+      << "what stays keeps its identifier";
+  Known.apply(born0("i-new", "desk"), Start);
+  EXPECT_NE(Known.settings()->m_Services[0].m_Servers.at(0).m_Id, Other);
+}
+
+TEST(IdRegistry, NamesKeepTheirIdentifierAndShareNone) {
+  IdRegistry<KindId> Ids;
+  std::set<KindId> Given;
+  constexpr int Names = 2000;
+  for (int Name = 0; Name < Names; ++Name) {
+    Given.insert(Ids.of(std::to_string(Name)));
+  }
+  EXPECT_EQ(Given.size(), static_cast<std::size_t>(Names));
+  EXPECT_EQ(Ids.of("7"), Ids.at("7"));
+  EXPECT_EQ(Ids.of("7"), idOf<KindId>("7"));
+  Ids.release("7");
+  EXPECT_THROW(Ids.at("7"), std::out_of_range);
+}
+
 std::size_t serversOf(const Catalog &Known) {
   return Known.settings()->m_Services.front().m_Servers.size();
 }
--- a/tests/unit-platform-front.cpp
+++ b/tests/unit-platform-front.cpp
@@ -86,24 +86,16 @@
          "\"max_body_bytes\":9000,\"header_timeout\":\"2s\",\"idle_timeout\":\"5s\"}}]}";
 }
 
-/// A port that is free at this moment.
-std::uint16_t freePort() {
-  net::fakes::asio::io_context Io;
-  net::fakes::Tcp::acceptor Probe(Io, net::fakes::loopback(0));
-  return Probe.local_endpoint().port();
-}
-
 /// The entry process of the platform inside the test.
 class RunningFront {
 public:
   explicit RunningFront(const FakeStore &Store, std::string SettingsPath = {},
-                        std::uint16_t PeerPort = freePort())
-      : m_Caller(freePort()), m_Ready(freePort()), m_Metrics(freePort()) {
+                        std::uint16_t PeerPort = 0) {
     ProcessSettings Process{.m_Name = "n1",
                             .m_Ip = "127.0.0.1",
                             .m_DataCenter = "dc1",
-                            .m_CallerAddress = "127.0.0.1:" + std::to_string(m_Caller),
-                            .m_ReadyAddress = "127.0.0.1:" + std::to_string(m_Ready),
+                            .m_CallerAddress = "127.0.0.1:0",
+                            .m_ReadyAddress = "127.0.0.1:0",
                             .m_PeerPort = PeerPort,
                             .m_StoreAddress = Store.address(),
                             .m_StopGrace = std::chrono::milliseconds(400),
@@ -114,7 +106,7 @@
                             .m_ProbesPerSecond = 500};
     m_Front = Front::open({.m_Process = std::move(Process),
                            .m_SettingsPath = std::move(SettingsPath),
-                           .m_MetricsPort = m_Metrics})
+                           .m_MetricsPort = 0})
                   .value();
     m_Thread = std::thread([this] { m_Front->run(); });
   }
@@ -129,7 +121,7 @@
   RunningFront &operator=(const RunningFront &) = delete;
 
   unsigned readiness() {
-    Client Balancer(m_Ready);
+    Client Balancer(m_Front->readyPort());
     return Balancer.ask("GET /-/readiness HTTP/1.1\r\nHost: a\r\n\r\n").result_int();
   }
 
@@ -142,7 +134,7 @@
   }
 
   CallerReply ask(std::string_view Path, std::string_view Method = "GET") {
-    Client Caller(m_Caller);
+    Client Caller(m_Front->callerPort());
     return Caller.ask(request(Path, Method));
   }
 
@@ -161,18 +153,15 @@
   }
 
   std::string metrics() {
-    Client Operator(m_Metrics);
+    Client Operator(m_Front->metricsPort());
     return Operator.ask("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n").body();
   }
 
-  std::uint16_t callerPort() const { return m_Caller; }
+  std::uint16_t callerPort() const { return m_Front->callerPort(); }
   Front &front() { return *m_Front; }
   void awaitStopped() { m_Thread.join(); }
 
 private:
-  std::uint16_t m_Caller;
-  std::uint16_t m_Ready;
-  std::uint16_t m_Metrics;
   std::unique_ptr<Front> m_Front;
   std::thread m_Thread;
 };
