--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -494,6 +494,11 @@
     return world, violations
 
 
+def plain(value):
+    """Sets and records as JSON can hold them."""
+    return sorted(value) if isinstance(value, set) else vars(value)
+
+
 def report(options, world, violations):
     sent = world.history.sent
     answers = collections.Counter(one.status for one in sent)
@@ -549,7 +554,7 @@
                 red.append(seed)
                 if options.keep:
                     (folder / "history.json").write_text(
-                        json.dumps(world.history, default=vars, indent=0))
+                        json.dumps(world.history, default=plain, indent=0))
     print(f"soak: {len(plays)} seeds, red: {red or 'none'}")
     return 1 if red else 0
 
