Probed: servers with one or two slots are not refused for being nearly full

Found in reading: with one slot a server counts as nearly full when nothing runs there, and the last slot was kept for requests that run once, so that 39 of 40 others were refused. Change: a slot is kept only when the server would do less with it than with the slots that it can take without slowing down; for 4 and 6 slots that is as before. Test: unit-probed AServerWithFewSlotsIsUsedFromTheStart, 1 of 40 served before.

--- a/include/vanillahill/kernel/probed/backend_view.hpp
+++ b/include/vanillahill/kernel/probed/backend_view.hpp
@@ -115,6 +115,12 @@
     return m_Load && (m_Load->m_Running + 1.0) / slots() > NearlyFullShare;
   }
 
+  /// \brief Whether one more request would make it get less done in the same time.
+  bool losesByOneMore(const WorkEstimate &Kind) const {
+    return isNearlyFull() &&
+           Kind.losesByFilling(m_Load->m_Running + 1.0, std::floor(NearlyFullShare * slots()));
+  }
+
   /// \brief Requests that wait there for a slot, by the last report.
   std::uint32_t waiting() const { return m_Load ? m_Load->m_Waiting : 0; }
 
--- a/include/vanillahill/kernel/probed/work_estimate.hpp
+++ b/include/vanillahill/kernel/probed/work_estimate.hpp
@@ -51,11 +51,12 @@
 
   double nearlyFullFactor() const { return m_NearlyFullFactor.value(); }
 
-  /// \brief Whether a server gets less done when its last slots are taken, because all of its work
-  /// slows down by more than the slots add.
-  /// \param ShareBefore share of the slots that are taken before
-  bool losesByFilling(double ShareBefore) const {
-    return m_NearlyFullFactor.value() * ShareBefore > 1.0;
+  /// \brief Whether a server gets less done with more slots taken, because all of its work slows
+  /// down by more than they add.
+  /// \param Taken slots that would be taken
+  /// \param Unhurried slots that it can have taken without slowing down
+  bool losesByFilling(double Taken, double Unhurried) const {
+    return Taken / m_NearlyFullFactor.value() < Unhurried;
   }
 
   /// \brief Takes finished work into account.
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -248,8 +248,7 @@
   const bool IsIdempotent = Wanted.m_Settings.m_Idempotent;
   // The last slots are for requests that must not run twice. If all took them, servers would slow
   // down so much that they do less, and stay full after the burst that filled them.
-  const bool Loses = Backend.isNearlyFull() && Wanted.m_Work.losesByFilling(NearlyFullShare);
-  if (IsIdempotent && Loses && !isTrial()) {
+  if (IsIdempotent && Backend.losesByOneMore(Wanted.m_Work) && !isTrial()) {
     return false;
   }
   if (!Backend.isFull()) {
--- a/tests/unit-probed.cpp
+++ b/tests/unit-probed.cpp
@@ -117,6 +117,25 @@
   EXPECT_GE(Served, Requests / 2 * 9 / 10);
 }
 
+TEST(Probed, AServerWithFewSlotsIsUsedFromTheStart) {
+  for (const std::uint32_t Slots : {1U, 2U}) {
+    Desk Service(4);
+    for (std::size_t Index = 0; Index < 4; ++Index) {
+      Service.server(Index).m_Slots = Slots;
+    }
+    std::size_t Served = 0;
+    for (int Round = 0; Round < 40; ++Round) {
+      const RequestId Request = Service.arrive(Desk::Look);
+      Service.advance(milliseconds(150));
+      Served +=
+          Service.isAnswered(Request) && Service.answerOf(Request).m_Outcome == Outcome::Completed
+              ? 1
+              : 0;
+    }
+    EXPECT_EQ(Served, 40U) << Slots;
+  }
+}
+
 TEST(Probed, TheLastSlotsAreForRequestsThatMustNotRunTwice) {
   Desk Service(3);
   for (std::size_t Index = 0; Index < 3; ++Index) {
