Probed: a slot that only slows work down is not worth taking

At 1.5 it gains nothing and all work there ends later: the tie counts as a loss now. Test: unit-probed ASlotThatOnlySlowsWorkDownIsNotWorthIt.

--- a/include/vanillahill/kernel/probed/backend_view.hpp
+++ b/include/vanillahill/kernel/probed/backend_view.hpp
@@ -115,7 +115,7 @@
     return m_Load && (m_Load->m_Running + 1.0) / slots() > NearlyFullShare;
   }
 
-  /// \brief Whether one more request would make it get less done in the same time.
+  /// \brief Whether one more request would not make it get more done in the same time.
   bool losesByOneMore(const WorkEstimate &Kind) const {
     return isNearlyFull() &&
            Kind.losesByFilling(m_Load->m_Running + 1.0, std::floor(NearlyFullShare * slots()));
--- a/tests/unit-probed.cpp
+++ b/tests/unit-probed.cpp
@@ -117,6 +117,15 @@
   EXPECT_GE(Served, Requests / 2 * 9 / 10);
 }
 
+TEST(WorkEstimate, ASlotThatOnlySlowsWorkDownIsNotWorthIt) {
+  const WorkEstimate Work;
+  // The factor is 1.5 before any is known.
+  EXPECT_TRUE(Work.losesByFilling(6, 4)) << "as much work, and all of it later";
+  EXPECT_TRUE(Work.losesByFilling(4, 3));
+  EXPECT_FALSE(Work.losesByFilling(2, 1));
+  EXPECT_FALSE(Work.losesByFilling(1, 0));
+}
+
 TEST(Probed, AServerWithFewSlotsIsUsedFromTheStart) {
   for (const std::uint32_t Slots : {1U, 2U}) {
     Desk Service(4);
