--- a/include/vanillahill/kernel/probed/backend_view.hpp
+++ b/include/vanillahill/kernel/probed/backend_view.hpp
@@ -115,10 +115,9 @@
     return m_Load && (m_Load->m_Running + 1.0) / slots() > NearlyFullShare;
   }
 
-  /// \brief Whether one more request would not make it get more done in the same time.
+  /// \brief Whether one more request keeps it in a state in which it gets no more done.
   bool losesByOneMore(const WorkEstimate &Kind) const {
-    return isNearlyFull() &&
-           Kind.losesByFilling(m_Load->m_Running + 1.0, std::floor(NearlyFullShare * slots()));
+    return isNearlyFull() && Kind.losesByFilling(std::floor(NearlyFullShare * slots()));
   }
 
   /// \brief Requests that wait there for a slot, by the last report.
--- a/include/vanillahill/kernel/probed/work_estimate.hpp
+++ b/include/vanillahill/kernel/probed/work_estimate.hpp
@@ -51,12 +51,11 @@
 
   double nearlyFullFactor() const { return m_NearlyFullFactor.value(); }
 
-  /// \brief Whether a server gets no more done with more slots taken, because all of its work slows
-  /// down by at least what they add.
-  /// \param Taken slots that would be taken
-  /// \param Unhurried slots that it can have taken without slowing down
-  bool losesByFilling(double Taken, double Unhurried) const {
-    return Taken / m_NearlyFullFactor.value() <= Unhurried;
+  /// \brief Whether a server gets no more done with more slots taken than it can have without
+  /// slowing down, because all of its work then slows down by at least what one slot adds. \param
+  /// Unhurried slots that it can have taken without slowing down
+  bool losesByFilling(double Unhurried) const {
+    return (Unhurried + 1.0) / m_NearlyFullFactor.value() <= Unhurried;
   }
 
   /// \brief Takes finished work into account.
