Catalog: a record that changes only its sequence builds no name

Each record of a known life asked the registry for its identifier, with a name put together for that; the life keeps it now. Behaviour is the same: unit-catalog, unit-follower and unit-platform-front pass, linter clean on the file.

--- a/src/fleet/catalog.cpp
+++ b/src/fleet/catalog.cpp
@@ -73,12 +73,12 @@
       !SameLife || Entry.m_Draining != Old.m_Entry.m_Draining ||
       Entry.m_Address != Old.m_Entry.m_Address || Entry.m_Service != Old.m_Entry.m_Service ||
       Entry.m_Slots != Old.m_Entry.m_Slots || Entry.m_DataCenter != Old.m_Entry.m_DataCenter;
+  ServerId Id = Old.m_Id;
   if (!SameLife) {
     m_ServerIds.release(lifeOf(Old.m_Entry));
+    Id = m_ServerIds.of(lifeOf(Entry));
   }
-  Old = Known{.m_Entry = Entry,
-              .m_ColdUntil = Now + Entry.m_ColdFor,
-              .m_Id = m_ServerIds.of(lifeOf(Entry))};
+  Old = Known{.m_Entry = Entry, .m_ColdUntil = Now + Entry.m_ColdFor, .m_Id = Id};
   return Changed;
 }
 
