--- a/include/vanillahill/fleet/catalog.hpp
+++ b/include/vanillahill/fleet/catalog.hpp
@@ -104,9 +104,8 @@
   /// \return whether the settings change now
   bool remove(std::string_view Id, TimePoint Now);
 
-  /// \brief Removes the servers that a complete listing does not contain.
-  /// \return whether the settings change now
-  bool keepOnly(const std::set<std::string, std::less<>> &Ids, TimePoint Now);
+  /// \brief The known servers that a complete listing does not contain.
+  std::vector<std::string> missingFrom(const std::set<std::string, std::less<>> &Ids) const;
 
   /// \brief Called when records may have lapsed: until LapseWatch::GracePeriod has passed,
   /// removals are held back, except those of draining servers.
@@ -131,6 +130,9 @@
 
   bool has(std::string_view Id) const { return m_Servers.contains(Id); }
 
+  /// \brief Whether the removal of a server is held back.
+  bool isRemovalHeld(std::string_view Id) const { return m_PendingRemovals.contains(Id); }
+
   std::uint64_t version() const { return m_Configuration ? m_Configuration->m_Version : 0; }
   std::size_t serverCount() const { return m_Servers.size(); }
 
--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -5,6 +5,7 @@
 
 #include "vanillahill/core/time.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <optional>
@@ -56,6 +57,16 @@
   /// several would read before the first one's announcement reaches them; with fewer, there would
   /// often be none.
   static constexpr double EarlyVms = 4.0;
+  /// Upper limit of the delay that is added for a slow store, as a share of the bound.
+  static constexpr double MaxSlowStoreShare = 0.15;
+  /// Time that a VM has to get announced records from another VM, as a share of the bound.
+  static constexpr double FetchTimeShare = 0.25;
+  /// Average number of VMs of one data centre that read the store when all of them start at the
+  /// same time; the others fetch a snapshot from one of these.
+  static constexpr double FirstReadVms = 8.0;
+  /// Bounds of the delay after which a VM that has still no snapshot reads the store itself.
+  static constexpr Duration MinFirstReadDelay = std::chrono::milliseconds(500);
+  static constexpr Duration MaxFirstReadDelay = std::chrono::milliseconds(1200);
   /// Pause after the first of several failed reads in a row; doubled after each further one.
   static constexpr Duration InitialBackoff = std::chrono::milliseconds(150);
   /// Upper limit of the pause, before it is varied at random by up to 25 %.
@@ -76,6 +87,17 @@
   /// \brief Records that a range was announced to all other VMs.
   void told(const RecordRange &Range);
 
+  /// \brief Starts no read before the given time: other VMs may have a snapshot.
+  void pauseUntil(TimePoint Until) { m_PausedUntil = std::max(m_PausedUntil, Until); }
+
+  /// \brief Called when this VM knows the VMs of its data centre and none has a catalog yet: a few
+  /// VMs, drawn at random, read the store at once and the others later.
+  /// \param LocalVms number of VMs in the data centre, including this one
+  void spreadFirstReads(std::size_t LocalVms, TimePoint Now);
+
+  /// \brief Whether every stream was read or adopted.
+  bool isComplete() const;
+
   /// \brief Starts the next read, if one is due. The caller must report its end with
   /// readSucceeded() or readFailed().
   /// \return the stream to read
@@ -88,6 +110,9 @@
   /// newest record of every key is to be read instead.
   std::optional<std::uint64_t> position(Stream Which) const;
 
+  /// \brief Offset up to which the records of a stream are known; nothing before the first read.
+  std::optional<std::uint64_t> knownTo(Stream Which) const { return state(Which).m_Position; }
+
   /// \brief Reports that a read succeeded.
   /// \param To offset at which the next read begins
   /// \param AskedAt when the read was sent
@@ -99,17 +124,20 @@
   void readFailed(Stream Which, bool IsPositionLost, TimePoint Now);
 
   /// \brief Takes the announcement of another VM. When records before the range are missing here,
-  /// a read of the stream becomes due.
+  /// a read of the stream becomes due as by readSoon().
   /// \return whether the range holds new records and none is missing before it: the caller applies
   /// the records
   bool heard(const RecordRange &Range, TimePoint Now);
 
-  /// \brief Moves the position forward after a snapshot of a stream was received from another VM.
-  /// \param To offset up to which the snapshot is complete
-  void jumpTo(Stream Which, std::uint64_t To);
+  /// \brief Records that the content of a stream was received from another VM.
+  /// \param To offset up to which the content is complete
+  /// \param CurrentAt when that VM was last up to date
+  void adopt(Stream Which, std::uint64_t To, TimePoint CurrentAt);
 
-  /// \brief Makes a read of a stream due now: another VM announced records without sending them.
-  void readSoon(Stream Which, TimePoint Now);
+  /// \brief Makes a read of a stream due soon: another VM announced records that are missing here.
+  /// Until then, this VM may get them from another one.
+  /// \param To offset behind the last record
+  void readSoon(Stream Which, std::uint64_t To, TimePoint Now);
 
   /// \brief Number of consecutive failed reads.
   std::uint32_t failures() const { return m_Failures; }
@@ -120,7 +148,11 @@
 private:
   struct StreamState {
     std::optional<std::uint64_t> m_Position;
+    /// The store no longer has the records from m_Position on.
+    bool m_IsPositionLost = false;
     std::optional<TimePoint> m_CurrentAt;
+    /// How long the last known read took, by this VM or another one.
+    Duration m_ReadTime{};
     TimePoint m_NextReadAt{};
     /// Offset up to which some VM announced the records to all others.
     std::uint64_t m_AnnouncedTo = 0;
--- a/include/vanillahill/fleet/news.hpp
+++ b/include/vanillahill/fleet/news.hpp
@@ -6,6 +6,7 @@
 #include "vanillahill/core/error.hpp"
 #include "vanillahill/core/ids.hpp"
 #include "vanillahill/fleet/follower.hpp"
+#include "vanillahill/fleet/vm_info.hpp"
 
 #include <optional>
 #include <string>
@@ -20,17 +21,22 @@
 
 /// Tells that the sender is alive.
 struct Hello {
+  VmInfo m_Sender;
   /// The sender asks for a PeerList.
   bool m_AsksForPeers = false;
 };
 
-/// The VMs that the sender knows.
+/// VMs that the sender knows.
 struct PeerList {
-  std::vector<std::string> m_Ips;
+  VmInfo m_Sender;
+  std::vector<VmGroup> m_Groups;
 };
 
 /// Announces what the sender read from the store.
 struct StoreNews {
+  VmInfo m_Sender;
+  /// The receiver is to pass the message on to the VMs of its own data centre.
+  bool m_IsForRelay = false;
   Stream m_Stream = Stream::Configuration;
   std::uint64_t m_From = 0;
   std::uint64_t m_To = 0;
@@ -53,20 +59,15 @@
   ServerId m_Server{};
 };
 
-/// Asks for a Snapshot, because the store does not answer the sender.
-struct SnapshotWanted {
-  /// Version of the configuration that the sender has.
-  std::uint64_t m_Version = 0;
-  /// Position of the sender in the stream of servers; 0 for none.
-  std::uint64_t m_ServersPosition = 0;
-};
-
-/// The contents of the store as the sender knows them, for a VM that the store does not answer.
+/// The contents of the store as one VM knows them, for a VM that has not read the store or that the
+/// store does not answer. Too long for datagrams: VMs fetch it from each other over HTTP.
 struct Snapshot {
   std::uint64_t m_ConfigurationPosition = 0;
-  /// Empty when the receiver has this version or a newer one.
+  /// Time since each stream was last known to be up to date.
+  Duration m_ConfigurationAge{};
   std::string m_ConfigurationText;
   std::uint64_t m_ServersPosition = 0;
+  Duration m_ServersAge{};
   /// The newest record of every server.
   std::vector<Record> m_Servers;
 };
@@ -80,12 +81,14 @@
   std::string m_Bytes;
 };
 
-using News =
-    std::variant<Hello, PeerList, StoreNews, ServerFailed, SnapshotWanted, Piece, Snapshot>;
+using News = std::variant<Hello, PeerList, StoreNews, ServerFailed, Piece, Snapshot>;
 
 /// \brief Encodes a message into one frame, whatever its size.
 std::string encodeNews(const News &Message);
 
+/// \brief Encodes a message into one compressed frame.
+std::string encodeCompressed(const News &Message);
+
 /// \brief Decodes a frame, compressed or not.
 /// \return the message. Errors: PeerFrameMalformed for a frame that is not a valid message
 Result<News> decodeNews(std::string_view Frame);
--- a/include/vanillahill/net/detail/admin_server.hpp
+++ b/include/vanillahill/net/detail/admin_server.hpp
@@ -1,8 +1,9 @@
 /// \file
-/// HTTP server for operators: metrics, status and readiness. It is read only; metrics and status
-/// need a token unless they are configured as open.
+/// HTTP server for operators and other VMs: metrics, status, readiness, snapshot. It is read only;
+/// metrics and status need a token unless they are configured as open.
 #pragma once
 
+#include "vanillahill/fleet/snapshot_request.hpp"
 #include "vanillahill/net/detail/types.hpp"
 #include "vanillahill/observe/metrics.hpp"
 
@@ -15,6 +16,9 @@
   std::function<kernel::NodeStatus()> m_Status;
   std::function<observe::Gauges()> m_Gauges;
   std::function<bool()> m_IsReady;
+  /// The frame of a snapshot for another VM, empty when it cannot be given; not served when the
+  /// function is empty.
+  std::function<std::string(const fleet::SnapshotRequest &)> m_Snapshot;
 };
 
 /// Access rules of an admin address.
@@ -27,7 +31,8 @@
   std::string m_ReadyTarget = "/ready";
 };
 
-/// Serves GET /metrics, /status, the ready target and /live. Thread safe.
+/// Serves GET /metrics, /status, the ready target, /live and, to other VMs, the snapshot. Thread
+/// safe.
 class AdminServer : public std::enable_shared_from_this<AdminServer> {
 public:
   using Response = http::response<http::string_body>;
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -8,8 +8,12 @@
 #include "vanillahill/fleet/lapse_watch.hpp"
 #include "vanillahill/fleet/news.hpp"
 #include "vanillahill/fleet/peers.hpp"
+#include "vanillahill/fleet/snapshot_request.hpp"
 #include "vanillahill/net/detail/datagrams.hpp"
 
+#include <random>
+#include <span>
+
 #include <span>
 
 namespace vanillahill::net {
@@ -44,6 +48,9 @@
   std::string m_ConfigurationKey;
 };
 
+/// Receives the snapshot of another VM, as FleetClient::snapshotFrame() made it there.
+using SnapshotDone = std::function<void(Result<std::string>)>;
+
 struct FleetClientOptions {
   fleet::CatalogOptions m_Catalog;
   fleet::FollowerOptions m_Follower;
@@ -52,6 +59,10 @@
   std::function<void(std::shared_ptr<const SiteSettings>)> m_OnSettings;
   /// Called when another VM announced the failure of a backend server.
   std::function<void(ServerId)> m_OnServerFailed;
+  /// Fetches the snapshot of the VM with the given IP.
+  std::function<void(const std::string &Ip, const fleet::SnapshotRequest &Wanted,
+                     SnapshotDone Done)>
+      m_FetchSnapshot;
 };
 
 /// Used from one thread.
@@ -66,9 +77,13 @@
   /// \brief Applies changed options: budgets, the bound of the follower, the seeds.
   void reconfigure(fleet::CatalogOptions Catalog, Duration Bound, std::vector<std::string> SeedIps);
 
-  /// \brief Announces to the other VMs that a backend server failed for this VM.
+  /// \brief Announces to the local VMs that a backend server failed for this VM.
   void tellServerFailed(ServerId Server);
 
+  /// \brief The contents of the store as this VM knows them, for another VM.
+  /// \return a frame with a fleet::Snapshot, empty when this VM does not know the wanted records
+  std::string snapshotFrame(const fleet::SnapshotRequest &Wanted);
+
   /// \brief Whether there is a configuration and a server.
   bool isUsable() const { return m_Catalog.isUsable(); }
 
@@ -81,15 +96,17 @@
 private:
   void runDueTasks();
   void startTimer();
+  void decideFirstReads(TimePoint Now);
   void onRead(fleet::Stream Which, std::optional<std::uint64_t> From, TimePoint AskedAt,
               StoreResult Result);
+  void onReadFailed(fleet::Stream Which, const StoreFailure &Failed, TimePoint Now);
   void recordCatalogCurrent(std::optional<TimePoint> Previous, TimePoint Now);
   bool applyRecords(fleet::Stream Which, const StoreRead &Read, std::vector<bool> &ShouldAnnounce,
                     TimePoint Now);
+  void addUnlisted(StoreRead &Listing) const;
   bool applyConfiguration(const std::string &Text);
-  bool applyServer(const fleet::Record &Entry, TimePoint Now);
-  void announceRange(const fleet::RecordRange &Range, const std::vector<bool> &ShouldAnnounce,
-                     TimePoint Now);
+  bool applyServer(const fleet::Record &Entry, bool IsLogged, TimePoint Now);
+  void announce(fleet::StoreNews Announcement, TimePoint AskedAt, TimePoint Now);
   void publishSettings();
 
   void onDatagram(std::string_view Ip, std::string_view Datagram);
@@ -97,14 +114,25 @@
   void handleMessage(std::string_view Ip, const fleet::PeerList &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::ServerFailed &Message, TimePoint Now);
-  void handleMessage(std::string_view Ip, const fleet::SnapshotWanted &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::Piece &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::Snapshot &Message, TimePoint Now);
-  void requestSnapshot();
+  void relay(fleet::StoreNews Message, TimePoint AskedAt, TimePoint Now);
+
+  bool needsSnapshot() const;
+  bool isKnown(const fleet::SnapshotRequest &Wanted) const;
+  void noteMissing(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now);
+  void relayPending(TimePoint Now);
+  void fetchSnapshot(TimePoint Now);
+  void onSnapshot(const std::string &Ip, TimePoint AskedAt, const Result<std::string> &Frame);
+  void adoptSnapshot(const std::string &Ip, const fleet::Snapshot &Received, TimePoint AskedAt,
+                     TimePoint Now);
+
+  fleet::VmInfo selfInfo() const;
   bool hasFleetSizeChanged() const;
+  void logFleetSize();
   void sendDueHellos();
-  void sendToAll(std::span<const std::string> Datagrams);
-  void send(const std::string &Ip, const fleet::News &Message);
+  void sendHello(const std::string &Ip, bool AsksForPeers);
+  void send(std::span<const std::string> Ips, const fleet::News &Message);
   bool mayAnnounceFailure(ServerId Server, TimePoint Now);
 
   StoreAccess m_Store;
@@ -117,14 +145,32 @@
   fleet::Peers m_Peers;
   fleet::PieceCollector m_Pieces;
   /// The texts of the configuration in force and of the newest record of each server, as read from
-  /// the store. They are sent to VMs that the store does not answer.
+  /// the store, for the snapshots that other VMs fetch.
   std::string m_ConfigurationText;
   std::map<std::string, std::string, std::less<>> m_ServerTexts;
   /// Number of the last message that was packed for sending, which may be split into pieces.
   std::uint64_t m_LastSplitMessage = 0;
   std::mt19937_64 m_Random;
+  /// Last frame that snapshotFrame() made, up to which offsets, and when.
+  std::string m_SnapshotFrame;
+  fleet::SnapshotRequest m_SnapshotOffsets;
+  TimePoint m_SnapshotMadeAt{};
+  bool m_IsFetching = false;
+  /// Offsets up to which other VMs announced records that are missing here.
+  fleet::SnapshotRequest m_Wanted;
+  /// VM that announced the last ones.
+  std::string m_Announcer;
+  /// An announcement to be relayed once its records were fetched, with the time of its read.
+  std::optional<std::pair<fleet::StoreNews, TimePoint>> m_PendingRelay;
+  /// No snapshot is fetched before this time.
+  TimePoint m_NextFetchAt{};
+  TimePoint m_StartedAt{};
+  /// When it is decided whether this VM reads the store at its start; nothing afterwards.
+  std::optional<TimePoint> m_DecideFirstReadsAt;
   /// Fleet size for which the settings in force were computed.
   std::size_t m_SettingsFleetSize = 1;
+  /// Fleet size in the last log line about it.
+  std::size_t m_LoggedFleetSize = 1;
   /// When a failure of each server was last announced.
   std::map<ServerId, TimePoint> m_FailureAnnouncedAt;
   bool m_Closed = false;
--- a/src/fleet/catalog.cpp
+++ b/src/fleet/catalog.cpp
@@ -114,18 +114,14 @@
   m_Servers.erase(Found);
 }
 
-bool Catalog::keepOnly(const std::set<std::string, std::less<>> &Ids, TimePoint Now) {
+std::vector<std::string> Catalog::missingFrom(const std::set<std::string, std::less<>> &Ids) const {
   std::vector<std::string> Missing;
   for (const auto &[Id, Server] : m_Servers) {
     if (!Ids.contains(Id)) {
       Missing.push_back(Id);
     }
   }
-  bool Changed = false;
-  for (const std::string &Id : Missing) {
-    Changed = remove(Id, Now) || Changed;
-  }
-  return Changed;
+  return Missing;
 }
 
 void Catalog::releaseRemovals(TimePoint Now) {
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -34,14 +34,32 @@
 }
 
 std::optional<std::uint64_t> Follower::position(Stream Which) const {
-  return state(Which).m_Position;
+  const StreamState &State = state(Which);
+  return State.m_IsPositionLost ? std::nullopt : State.m_Position;
 }
 
-bool Follower::readSucceeded(Stream Which, std::uint64_t To, TimePoint AskedAt, TimePoint /*Now*/) {
+void Follower::spreadFirstReads(std::size_t LocalVms, TimePoint Now) {
+  std::bernoulli_distribution ReadsNow(std::min(FirstReadVms / static_cast<double>(LocalVms), 1.0));
+  if (ReadsNow(m_Random)) {
+    return;
+  }
+  std::uniform_int_distribution<Duration::rep> Delay(MinFirstReadDelay.count(),
+                                                     MaxFirstReadDelay.count());
+  pauseUntil(Now + Duration(Delay(m_Random)));
+}
+
+bool Follower::isComplete() const {
+  return std::all_of(m_Streams.begin(), m_Streams.end(),
+                     [](const StreamState &State) { return State.m_Position.has_value(); });
+}
+
+bool Follower::readSucceeded(Stream Which, std::uint64_t To, TimePoint AskedAt, TimePoint Now) {
   m_Reading.reset();
   StreamState &State = state(Which);
   State.m_Position = std::max(State.m_Position.value_or(0), To);
+  State.m_IsPositionLost = false;
   State.m_CurrentAt = std::max(State.m_CurrentAt.value_or(AskedAt), AskedAt);
+  State.m_ReadTime = Now - AskedAt;
   scheduleRead(State);
   const bool WasUnreachable = m_Failures > 0;
   m_Failures = 0;
@@ -51,7 +69,7 @@
 void Follower::readFailed(Stream Which, bool IsPositionLost, TimePoint Now) {
   m_Reading.reset();
   if (IsPositionLost) {
-    state(Which).m_Position.reset();
+    state(Which).m_IsPositionLost = true;
     state(Which).m_NextReadAt = Now;
     return;
   }
@@ -63,30 +81,47 @@
   m_PausedUntil = Now + std::chrono::duration_cast<Duration>(Backoff * Spread(m_Random));
 }
 
-bool Follower::heard(const RecordRange &Range, TimePoint /*Now*/) {
+bool Follower::heard(const RecordRange &Range, TimePoint Now) {
   StreamState &State = state(Range.m_Stream);
   State.m_AnnouncedTo = std::max(State.m_AnnouncedTo, Range.m_To);
   if (!State.m_Position || *State.m_Position < Range.m_From) {
-    // Records between the position and the range are missing: read them from the store.
-    State.m_NextReadAt = std::min(State.m_NextReadAt, Range.m_AskedAt);
+    // Records between the position and the range are missing.
+    readSoon(Range.m_Stream, Range.m_To, Now);
     return false;
   }
   const bool IsNew = Range.m_To > *State.m_Position;
-  State.m_Position = std::max(*State.m_Position, Range.m_To);
+  if (IsNew) {
+    State.m_Position = Range.m_To;
+    State.m_IsPositionLost = false;
+  }
   if (!State.m_CurrentAt || Range.m_AskedAt > *State.m_CurrentAt) {
     State.m_CurrentAt = Range.m_AskedAt;
+    State.m_ReadTime = Now - Range.m_AskedAt;
     scheduleRead(State);
   }
   return IsNew;
 }
 
-void Follower::jumpTo(Stream Which, std::uint64_t To) {
+void Follower::adopt(Stream Which, std::uint64_t To, TimePoint CurrentAt) {
   StreamState &State = state(Which);
-  State.m_Position = std::max(State.m_Position.value_or(0), To);
+  if (State.m_Position && *State.m_Position > To) {
+    return;
+  }
+  State.m_Position = To;
+  State.m_IsPositionLost = false;
+  if (!State.m_CurrentAt || CurrentAt > *State.m_CurrentAt) {
+    State.m_CurrentAt = CurrentAt;
+    scheduleRead(State);
+  }
 }
 
-void Follower::readSoon(Stream Which, TimePoint Now) {
-  state(Which).m_NextReadAt = std::min(state(Which).m_NextReadAt, Now);
+void Follower::readSoon(Stream Which, std::uint64_t To, TimePoint Now) {
+  StreamState &State = state(Which);
+  State.m_AnnouncedTo = std::max(State.m_AnnouncedTo, To);
+  if (State.m_Position.value_or(0) < To) {
+    const auto FetchTime = std::chrono::duration_cast<Duration>(m_Options.m_Bound * FetchTimeShare);
+    State.m_NextReadAt = std::min(State.m_NextReadAt, Now + FetchTime);
+  }
 }
 
 std::uint64_t Follower::untoldFrom(const RecordRange &Range) const {
@@ -105,6 +140,13 @@
   const double ExtraShare = IsEarly(m_Random) ? 0.0 : HalfSpread;
   const auto Delay = m_Options.m_Bound * (ReadPeriodShare + ExtraShare + Spread(m_Random));
   State.m_NextReadAt = *State.m_CurrentAt + std::chrono::duration_cast<Duration>(Delay);
+  if (ExtraShare > 0.0) {
+    // The early VMs' reads take long at a slow store: without this, all others would read before
+    // the first answer is announced.
+    const auto MaxExtra =
+        std::chrono::duration_cast<Duration>(m_Options.m_Bound * MaxSlowStoreShare);
+    State.m_NextReadAt += std::min(State.m_ReadTime, MaxExtra);
+  }
 }
 
 } // namespace vanillahill::fleet
--- a/src/fleet/news.cpp
+++ b/src/fleet/news.cpp
@@ -3,7 +3,10 @@
 #include <nlohmann/json.hpp>
 #include <zlib.h>
 
+#include <arpa/inet.h>
+
 #include <algorithm>
+#include <array>
 #include <span>
 
 namespace vanillahill::fleet {
@@ -12,7 +15,7 @@
 
 using Json = nlohmann::json;
 
-constexpr int FormatVersion = 1;
+constexpr int FormatVersion = 2;
 /// Space for the fields of a Piece other than its bytes.
 constexpr std::size_t EnvelopeBytes = 64;
 constexpr std::size_t PieceBytes = MaxDatagramBytes - EnvelopeBytes;
@@ -56,49 +59,108 @@
   return Records;
 }
 
-Json encodeBody(const Hello &Message) { return {Message.m_AsksForPeers}; }
+/// Length of an IPv4 address in a list, and of the address with the silence in seconds.
+constexpr std::size_t IpBytes = 4;
+constexpr std::size_t ListedBytes = IpBytes + 1;
+
+/// Packs each VM into five bytes; one whose address is not IPv4 is left out.
+Json encodeListed(std::span<const ListedVm> Listed) {
+  std::string Bytes;
+  for (const ListedVm &Vm : Listed) {
+    std::array<char, IpBytes> Packed{};
+    if (inet_pton(AF_INET, Vm.m_Ip.c_str(), Packed.data()) != 1) {
+      continue;
+    }
+    constexpr std::int64_t MaxSeconds = 255;
+    const auto Seconds = std::chrono::ceil<std::chrono::seconds>(Vm.m_Silence).count();
+    Bytes.append(Packed.data(), Packed.size());
+    Bytes.push_back(static_cast<char>(std::clamp<std::int64_t>(Seconds, 0, MaxSeconds)));
+  }
+  return encodeBytes(Bytes);
+}
+
+std::vector<ListedVm> decodeListed(const Json &Value) {
+  const std::string Bytes = decodeBytes(Value);
+  if (Bytes.size() % ListedBytes != 0) {
+    throw std::invalid_argument("list of " + std::to_string(Bytes.size()) + " bytes");
+  }
+  std::vector<ListedVm> Listed;
+  for (std::size_t At = 0; At < Bytes.size(); At += ListedBytes) {
+    std::array<char, INET_ADDRSTRLEN> Text{};
+    inet_ntop(AF_INET, Bytes.data() + At, Text.data(), Text.size());
+    const auto Seconds = static_cast<unsigned char>(Bytes[At + IpBytes]);
+    Listed.push_back({.m_Ip = Text.data(), .m_Silence = std::chrono::seconds(Seconds)});
+  }
+  return Listed;
+}
+
+Json encodeInfo(const VmInfo &Sender) {
+  return Json::array({Sender.m_DataCenter, Sender.m_LocalVms, Sender.m_HasCatalog});
+}
+
+VmInfo decodeInfo(const Json &Fields) {
+  return {.m_DataCenter = Fields.at(0).get<std::string>(),
+          .m_LocalVms = Fields.at(1).get<std::uint32_t>(),
+          .m_HasCatalog = Fields.at(2).get<bool>()};
+}
+
+std::int64_t toMicros(Duration Value) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Value).count();
+}
+
+Duration decodeAge(const Json &Value) {
+  const auto Micros = Value.get<std::int64_t>();
+  constexpr std::int64_t MaxMicros =
+      std::chrono::microseconds(std::chrono::hours(24 * 365)).count();
+  if (Micros < 0 || Micros > MaxMicros) {
+    throw std::invalid_argument("age of " + std::to_string(Micros) + " microseconds");
+  }
+  return std::chrono::microseconds(Micros);
+}
+
+Json encodeBody(const Hello &Message) {
+  return Json::array({encodeInfo(Message.m_Sender), Message.m_AsksForPeers});
+}
 
 Json encodeBody(const PeerList &Message) {
-  Json Ips = Json::array();
-  for (const std::string &Ip : Message.m_Ips) {
-    Ips.push_back(Ip);
+  Json Groups = Json::array();
+  for (const VmGroup &Group : Message.m_Groups) {
+    Groups.push_back(Json::array({Group.m_DataCenter, Group.m_Vms, encodeListed(Group.m_Listed)}));
   }
-  return Json::array({Ips});
+  return Json::array({encodeInfo(Message.m_Sender), std::move(Groups)});
 }
 
 Json encodeBody(const StoreNews &Message) {
   return Json::array({static_cast<int>(Message.m_Stream), Message.m_From, Message.m_To,
-                      std::chrono::duration_cast<std::chrono::microseconds>(Message.m_Age).count(),
-                      Message.m_MayHaveLapsed, Message.m_IsSteady, Message.m_IsPartial,
-                      encodeRecords(Message.m_Records)});
+                      toMicros(Message.m_Age), Message.m_MayHaveLapsed, Message.m_IsSteady,
+                      Message.m_IsPartial, encodeRecords(Message.m_Records),
+                      encodeInfo(Message.m_Sender), Message.m_IsForRelay});
 }
 
 Json encodeBody(const ServerFailed &Message) { return Json::array({raw(Message.m_Server)}); }
 
-Json encodeBody(const SnapshotWanted &Message) {
-  return Json::array({Message.m_Version, Message.m_ServersPosition});
-}
-
 Json encodeBody(const Piece &Message) {
   return Json::array(
       {Message.m_MessageNumber, Message.m_Index, Message.m_Count, encodeBytes(Message.m_Bytes)});
 }
 
 Json encodeBody(const Snapshot &Message) {
-  return Json::array({Message.m_ConfigurationPosition, encodeBytes(Message.m_ConfigurationText),
-                      Message.m_ServersPosition, encodeRecords(Message.m_Servers)});
+  return Json::array({Message.m_ConfigurationPosition, toMicros(Message.m_ConfigurationAge),
+                      encodeBytes(Message.m_ConfigurationText), Message.m_ServersPosition,
+                      toMicros(Message.m_ServersAge), encodeRecords(Message.m_Servers)});
 }
 
 StoreNews decodeStoreNews(const Json &Fields) {
   const auto Which = Fields.at(0).get<std::size_t>();
-  const auto AgeMicros = Fields.at(3).get<std::int64_t>();
-  if (Which >= StreamCount || AgeMicros < 0) {
-    throw std::invalid_argument("unknown stream or negative age");
+  if (Which >= StreamCount) {
+    throw std::invalid_argument("unknown stream " + std::to_string(Which));
   }
-  StoreNews Message{.m_Stream = static_cast<Stream>(Which),
+  StoreNews Message{.m_Sender = decodeInfo(Fields.at(8)),
+                    .m_IsForRelay = Fields.at(9).get<bool>(),
+                    .m_Stream = static_cast<Stream>(Which),
                     .m_From = Fields.at(1).get<std::uint64_t>(),
                     .m_To = Fields.at(2).get<std::uint64_t>(),
-                    .m_Age = std::chrono::microseconds(AgeMicros),
+                    .m_Age = decodeAge(Fields.at(3)),
                     .m_MayHaveLapsed = Fields.at(4).get<bool>(),
                     .m_IsSteady = Fields.at(5).get<bool>(),
                     .m_Records = decodeRecords(Fields.at(7)),
@@ -109,29 +171,38 @@
   return Message;
 }
 
+PeerList decodePeerList(const Json &Fields) {
+  PeerList Message{.m_Sender = decodeInfo(Fields.at(0))};
+  for (const Json &Group : Fields.at(1)) {
+    Message.m_Groups.push_back({.m_DataCenter = Group.at(0).get<std::string>(),
+                                .m_Vms = Group.at(1).get<std::uint32_t>(),
+                                .m_Listed = decodeListed(Group.at(2))});
+  }
+  return Message;
+}
+
 News decodeBody(std::size_t Type, const Json &Fields) {
   switch (Type) {
   case 0:
-    return Hello{.m_AsksForPeers = Fields.at(0).get<bool>()};
+    return Hello{.m_Sender = decodeInfo(Fields.at(0)), .m_AsksForPeers = Fields.at(1).get<bool>()};
   case 1:
-    return PeerList{.m_Ips = Fields.at(0).get<std::vector<std::string>>()};
+    return decodePeerList(Fields);
   case 2:
     return decodeStoreNews(Fields);
   case 3:
     return ServerFailed{.m_Server = ServerId{Fields.at(0).get<std::uint32_t>()}};
   case 4:
-    return SnapshotWanted{.m_Version = Fields.at(0).get<std::uint64_t>(),
-                          .m_ServersPosition = Fields.at(1).get<std::uint64_t>()};
-  case 5:
     return Piece{.m_MessageNumber = Fields.at(0).get<std::uint64_t>(),
                  .m_Index = Fields.at(1).get<std::uint32_t>(),
                  .m_Count = Fields.at(2).get<std::uint32_t>(),
                  .m_Bytes = decodeBytes(Fields.at(3))};
-  case 6:
+  case 5:
     return Snapshot{.m_ConfigurationPosition = Fields.at(0).get<std::uint64_t>(),
-                    .m_ConfigurationText = decodeBytes(Fields.at(1)),
-                    .m_ServersPosition = Fields.at(2).get<std::uint64_t>(),
-                    .m_Servers = decodeRecords(Fields.at(3))};
+                    .m_ConfigurationAge = decodeAge(Fields.at(1)),
+                    .m_ConfigurationText = decodeBytes(Fields.at(2)),
+                    .m_ServersPosition = Fields.at(3).get<std::uint64_t>(),
+                    .m_ServersAge = decodeAge(Fields.at(4)),
+                    .m_Servers = decodeRecords(Fields.at(5))};
   default:
     throw std::invalid_argument("unknown type " + std::to_string(Type));
   }
@@ -197,6 +268,8 @@
                      std::visit([](const auto &Typed) { return encodeBody(Typed); }, Message));
 }
 
+std::string encodeCompressed(const News &Message) { return compressFrame(encodeNews(Message)); }
+
 Result<News> decodeNews(std::string_view Frame) {
   try {
     const Json Outer = parseFrame(Frame);
--- a/src/fleet/peers.cpp
+++ b/src/fleet/peers.cpp
@@ -1,56 +1,243 @@
 #include "vanillahill/fleet/peers.hpp"
 
+#include <algorithm>
+
 namespace vanillahill::fleet {
 
-bool Peers::heard(std::string_view Ip, TimePoint Now) {
+bool Peers::heard(std::string_view Ip, const VmInfo &Sender, TimePoint Now) {
   if (Ip == m_Options.m_SelfIp) {
     return false;
   }
-  return m_Known.insert_or_assign(std::string(Ip), Now).second;
+  if (Sender.m_DataCenter == m_Options.m_DataCenter) {
+    return m_Local
+        .insert_or_assign(std::string(Ip),
+                          LocalVm{.m_LastHeard = Now, .m_HasCatalog = Sender.m_HasCatalog})
+        .second;
+  }
+  RemoteGroup &Group = m_Remote[Sender.m_DataCenter];
+  Group.m_Vms = Sender.m_LocalVms;
+  Group.m_CountedAt = Now;
+  const bool IsNew = Group.m_LastHeard.insert_or_assign(std::string(Ip), Now).second;
+  trimGroup(Group);
+  return IsNew;
+}
+
+void Peers::refresh(std::string_view Ip, TimePoint Now) {
+  if (const auto Known = m_Local.find(Ip); Known != m_Local.end()) {
+    Known->second.m_LastHeard = Now;
+  }
+}
+
+/// Keeps a group within its limit.
+void Peers::trimGroup(RemoteGroup &Group) {
+  if (Group.m_LastHeard.size() > MaxRemoteVms) {
+    Group.m_LastHeard.erase(
+        std::min_element(Group.m_LastHeard.begin(), Group.m_LastHeard.end(),
+                         [](const auto &A, const auto &B) { return A.second < B.second; }));
+  }
 }
 
-std::vector<std::string> Peers::learn(const std::vector<std::string> &Ips, TimePoint Now) {
+std::vector<std::string> Peers::learn(std::span<const VmGroup> Groups, TimePoint Now) {
   std::vector<std::string> Added;
-  for (const std::string &Ip : Ips) {
-    if (Ip != m_Options.m_SelfIp && m_Known.emplace(Ip, Now).second) {
-      Added.push_back(Ip);
+  for (const VmGroup &Group : Groups) {
+    if (Group.m_DataCenter == m_Options.m_DataCenter) {
+      learnLocal(Group, Now, Added);
+    } else if (!Group.m_Listed.empty()) {
+      learnRemote(Group, Now);
     }
   }
   return Added;
 }
 
-std::vector<std::string> Peers::dueHellos(TimePoint Now) {
+void Peers::learnLocal(const VmGroup &Named, TimePoint Now, std::vector<std::string> &Added) {
+  for (const ListedVm &Vm : Named.m_Listed) {
+    const bool IsSilent = Vm.m_Silence > helloPeriod() * MaxSilentPeriods;
+    if (Vm.m_Ip != m_Options.m_SelfIp && !IsSilent &&
+        m_Local.emplace(Vm.m_Ip, LocalVm{.m_LastHeard = Now - Vm.m_Silence}).second) {
+      Added.push_back(Vm.m_Ip);
+    }
+  }
+}
+
+void Peers::learnRemote(const VmGroup &Named, TimePoint Now) {
+  RemoteGroup &Group = m_Remote[Named.m_DataCenter];
+  for (const ListedVm &Vm : Named.m_Listed) {
+    const TimePoint NamedAt = Now - Vm.m_Silence;
+    TimePoint &LastHeard = Group.m_LastHeard.try_emplace(Vm.m_Ip).first->second;
+    LastHeard = std::max(LastHeard, NamedAt);
+    trimGroup(Group);
+    if (NamedAt > Group.m_CountedAt) {
+      Group.m_Vms = Named.m_Vms;
+      Group.m_CountedAt = NamedAt;
+    }
+  }
+}
+
+std::vector<DueHello> Peers::dueHellos(TimePoint Now) {
   if (Now < nextTimer()) {
     return {};
   }
-  std::erase_if(m_Known, [this, Now](const auto &Entry) {
-    return Now - Entry.second > helloPeriod() * MaxSilentPeriods;
-  });
+  if (!m_LastHello) {
+    m_FirstHello = Now;
+  }
   m_LastHello = Now;
-  std::set<std::string> Due;
-  for (const auto &[Ip, At] : m_Known) {
-    Due.insert(Ip);
+  forgetSilent(Now);
+  std::vector<DueHello> Due;
+  const bool EndsSettling = !isSettling() && m_LastRound < m_FirstHello + SettlingTime;
+  if (EndsSettling || Now - m_LastRound >= helloPeriod()) {
+    m_LastRound = Now;
+    addHellosToGroups(Due);
+  }
+  addQueries(Due);
+  return Due;
+}
+
+void Peers::forgetSilent(TimePoint Now) {
+  const Duration LocalLifetime = helloPeriod() * MaxSilentPeriods;
+  std::erase_if(m_Local,
+                [=](const auto &Known) { return Now - Known.second.m_LastHeard > LocalLifetime; });
+  for (auto &[DataCenter, Group] : m_Remote) {
+    std::erase_if(Group.m_LastHeard,
+                  [Now](const auto &Known) { return Now - Known.second > RemoteLifetime; });
+  }
+  std::erase_if(m_Remote, [](const auto &Known) { return Known.second.m_LastHeard.empty(); });
+}
+
+void Peers::addHellosToGroups(std::vector<DueHello> &Due) {
+  for (const auto &[Ip, Vm] : m_Local) {
+    Due.push_back({.m_Ip = Ip});
+  }
+  for (const auto &[DataCenter, Group] : m_Remote) {
+    const auto At = static_cast<std::ptrdiff_t>(drawIndex(Group.m_LastHeard));
+    Due.push_back({.m_Ip = std::next(Group.m_LastHeard.begin(), At)->first});
+  }
+}
+
+/// Adds the questions for other VMs: to all seeds while no VM is known, else to one VM at random,
+/// now and then a seed. So groups of VMs that know nothing of each other join.
+void Peers::addQueries(std::vector<DueHello> &Due) {
+  std::vector<std::string> Targets = m_Options.m_SeedIps;
+  std::erase(Targets, m_Options.m_SelfIp);
+  if (!isAlone()) {
+    const std::vector<std::string> Known = local();
+    Targets.insert(Targets.end(), Known.begin(), Known.end());
+    if (!Targets.empty()) {
+      Targets = {Targets[drawIndex(Targets)]};
+    }
+  }
+  for (std::string &Ip : Targets) {
+    Due.push_back({.m_Ip = std::move(Ip), .m_AsksForPeers = true});
   }
-  Due.insert(m_Options.m_SeedIps.begin(), m_Options.m_SeedIps.end());
-  Due.erase(m_Options.m_SelfIp);
-  return {Due.begin(), Due.end()};
 }
 
 TimePoint Peers::nextTimer() const {
-  return m_LastHello + (m_Known.empty() ? SeedQueryPeriod : helloPeriod());
+  if (!m_LastHello) {
+    return TimePoint{};
+  }
+  if (isAlone() || isSettling()) {
+    return *m_LastHello + (isAlone() && isSettling() ? FirstQueryPeriod : QueryPeriod);
+  }
+  return std::max(*m_LastHello + QueryPeriod, m_LastRound + helloPeriod());
+}
+
+bool Peers::isSettling() const { return m_LastHello && *m_LastHello - m_FirstHello < SettlingTime; }
+
+std::vector<VmGroup> Peers::list(std::string_view DataCenter, TimePoint Now) {
+  std::vector<VmGroup> Groups;
+  VmGroup Own{.m_DataCenter = m_Options.m_DataCenter,
+              .m_Vms = static_cast<std::uint32_t>(localSize())};
+  for (const auto &[Ip, Vm] : m_Local) {
+    Own.m_Listed.push_back({.m_Ip = Ip, .m_Silence = Now - Vm.m_LastHeard});
+  }
+  std::shuffle(Own.m_Listed.begin(), Own.m_Listed.end(), m_Random);
+  const bool IsOwn = DataCenter == m_Options.m_DataCenter;
+  Own.m_Listed.resize(
+      std::min(Own.m_Listed.size(), (IsOwn ? MaxListedLocalVms : MaxListedRemoteVms) - 1));
+  Own.m_Listed.push_back({.m_Ip = m_Options.m_SelfIp});
+  Groups.push_back(std::move(Own));
+  for (const auto &[Name, Group] : m_Remote) {
+    VmGroup Listed{.m_DataCenter = Name, .m_Vms = Group.m_Vms};
+    const std::size_t MaxListed = Name == DataCenter ? MaxRemoteVms : MaxListedRemoteVms;
+    for (std::string &Ip : mostRecent(Group, MaxListed)) {
+      const Duration Silence = Now - Group.m_LastHeard.at(Ip);
+      Listed.m_Listed.push_back({.m_Ip = std::move(Ip), .m_Silence = Silence});
+    }
+    Groups.push_back(std::move(Listed));
+  }
+  return Groups;
 }
 
-std::vector<std::string> Peers::all() const {
+std::vector<std::string> Peers::local() const {
   std::vector<std::string> Ips;
-  Ips.reserve(m_Known.size());
-  for (const auto &[Ip, At] : m_Known) {
+  Ips.reserve(m_Local.size());
+  for (const auto &[Ip, Vm] : m_Local) {
     Ips.push_back(Ip);
   }
   return Ips;
 }
 
+std::vector<std::string> Peers::drawRelays() {
+  std::vector<std::string> Relays;
+  for (const auto &[DataCenter, Group] : m_Remote) {
+    auto Candidates = mostRecent(Group, RelayCandidates);
+    std::shuffle(Candidates.begin(), Candidates.end(), m_Random);
+    Candidates.resize(std::min(Candidates.size(), RelaysPerDataCenter));
+    Relays.insert(Relays.end(), Candidates.begin(), Candidates.end());
+  }
+  return Relays;
+}
+
+std::optional<std::string> Peers::drawSnapshotSource() {
+  std::vector<std::string> Sources;
+  for (const auto &[Ip, Vm] : m_Local) {
+    if (Vm.m_HasCatalog) {
+      Sources.push_back(Ip);
+    }
+  }
+  if (Sources.empty()) {
+    Sources = local();
+  }
+  if (Sources.empty()) {
+    Sources = drawRelays();
+  }
+  if (Sources.empty()) {
+    return std::nullopt;
+  }
+  return Sources[drawIndex(Sources)];
+}
+
+bool Peers::hasLocalCatalog() const {
+  return std::any_of(m_Local.begin(), m_Local.end(),
+                     [](const auto &Known) { return Known.second.m_HasCatalog; });
+}
+
+std::size_t Peers::fleetSize() const {
+  std::size_t Vms = localSize();
+  for (const auto &[DataCenter, Group] : m_Remote) {
+    Vms += Group.m_Vms;
+  }
+  return Vms;
+}
+
+std::vector<std::string> Peers::mostRecent(const RemoteGroup &Group, std::size_t Count) {
+  std::vector<std::pair<TimePoint, std::string>> Ranked;
+  for (const auto &[Ip, LastHeard] : Group.m_LastHeard) {
+    Ranked.emplace_back(LastHeard, Ip);
+  }
+  std::sort(Ranked.begin(), Ranked.end(), std::greater<>());
+  std::vector<std::string> Ips;
+  for (std::size_t Index = 0; Index < std::min(Count, Ranked.size()); ++Index) {
+    Ips.push_back(std::move(Ranked[Index].second));
+  }
+  return Ips;
+}
+
+template <typename Container> std::size_t Peers::drawIndex(const Container &From) {
+  return std::uniform_int_distribution<std::size_t>(0, From.size() - 1)(m_Random);
+}
+
 Duration Peers::helloPeriod() const {
-  return HelloPeriod + HelloPeriodPerVm * static_cast<Duration::rep>(m_Known.size());
+  return HelloPeriod + HelloPeriodPerVm * static_cast<Duration::rep>(m_Local.size());
 }
 
 } // namespace vanillahill::fleet
--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -145,6 +145,13 @@
     return textResponse(http::status::ok, "text/plain; version=0.0.4",
                         m_Metrics.text(m_Sources.m_Status(), m_Sources.m_Gauges()));
   }
+  if (const auto Wanted = fleet::decodeTarget({Message.target().data(), Message.target().size()});
+      Wanted && m_Sources.m_Snapshot) {
+    std::string Frame = m_Sources.m_Snapshot(*Wanted);
+    return Frame.empty()
+               ? textResponse(http::status::service_unavailable, "text/plain", "not up to date\n")
+               : textResponse(http::status::ok, "application/octet-stream", std::move(Frame));
+  }
   if (Message.target() == "/status") {
     return textResponse(http::status::ok, "application/json", statusJson(m_Sources.m_Status()));
   }
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -2,7 +2,7 @@
 
 #include "vanillahill/observe/log.hpp"
 
-#include <array>
+#include <algorithm>
 #include <set>
 
 namespace vanillahill::net {
@@ -15,12 +15,24 @@
 /// The failure of one server is announced at most once in this time.
 constexpr Duration MinAnnounceInterval = std::chrono::milliseconds(150);
 /// Maximum number of datagrams for one range. A longer range is read from the store by every VM,
-/// which costs less than sending it over the links between data centres.
+/// which costs less than sending it to every VM in pieces.
 constexpr std::size_t MaxAnnouncedDatagrams = 8;
 /// Maximum number of servers whose last announced failure is remembered.
 constexpr std::size_t MaxAnnouncedFailures = 4096;
-/// Number of failed reads after which another VM is asked for a snapshot.
-constexpr std::uint32_t FailuresBeforeSnapshotRequest = 1;
+/// Number of failed reads after which a snapshot is fetched from another VM.
+constexpr std::uint32_t FailuresBeforeFetch = 1;
+/// At its start a VM waits this long for other VMs that may have a snapshot.
+constexpr Duration PeerWait = std::chrono::milliseconds(40);
+/// The same while no other VM is known: the seeds may start at the same time.
+constexpr Duration MaxPeerWait = 4 * PeerWait;
+/// Pause after a snapshot that could not be fetched.
+constexpr Duration FetchPause = std::chrono::milliseconds(60);
+/// Upper limit of the random delay before a VM fetches what was announced without the records.
+constexpr Duration MaxFetchDelay = std::chrono::milliseconds(400);
+/// A range with more changed servers than this is logged in one line.
+constexpr std::size_t MaxServerLines = 20;
+/// A snapshot frame is sent again for this long, as many VMs may fetch it at once.
+constexpr Duration SnapshotLifetime = std::chrono::milliseconds(100);
 
 std::string_view toString(Stream Which) {
   return Which == Stream::Configuration ? "configuration" : "servers";
@@ -42,9 +54,39 @@
           Locked->onDatagram(Ip, Datagram);
         }
       });
+  const bool HasSeeds =
+      std::any_of(m_Options.m_Peers.m_SeedIps.begin(), m_Options.m_Peers.m_SeedIps.end(),
+                  [this](const std::string &Ip) { return Ip != m_Options.m_Peers.m_SelfIp; });
+  if (HasSeeds) {
+    m_StartedAt = SystemClock().now();
+    m_DecideFirstReadsAt = m_StartedAt + PeerWait;
+    m_Follower.pauseUntil(*m_DecideFirstReadsAt);
+  }
   runDueTasks();
 }
 
+/// Decides once, when this VM had the time to get to know others, whether it reads the store or
+/// waits for a snapshot of another VM.
+void FleetClient::decideFirstReads(TimePoint Now) {
+  if (!m_DecideFirstReadsAt || Now < *m_DecideFirstReadsAt) {
+    return;
+  }
+  if (m_Peers.isAlone() && Now - m_StartedAt < MaxPeerWait) {
+    m_DecideFirstReadsAt = Now + PeerWait;
+    m_Follower.pauseUntil(*m_DecideFirstReadsAt);
+    return;
+  }
+  m_DecideFirstReadsAt.reset();
+  if (m_Follower.isComplete()) {
+    return;
+  }
+  if (m_Peers.hasLocalCatalog()) {
+    m_Follower.pauseUntil(Now + fleet::Follower::MinFirstReadDelay);
+  } else {
+    m_Follower.spreadFirstReads(m_Peers.localSize(), Now);
+  }
+}
+
 void FleetClient::close() {
   m_Closed = true;
   m_Timer.cancel();
@@ -66,12 +108,18 @@
     publishSettings();
   }
   sendDueHellos();
+  logFleetSize();
   m_Follower.setFleetSize(m_Peers.fleetSize());
   observe::flushLog();
   if (hasFleetSizeChanged()) {
     publishSettings();
   }
-  if (const auto Which = m_Follower.nextRead(Now)) {
+  decideFirstReads(Now);
+  if (needsSnapshot()) {
+    fetchSnapshot(Now);
+  }
+  const bool WaitsForSnapshot = m_IsFetching && !m_Follower.isComplete();
+  if (const auto Which = WaitsForSnapshot ? std::nullopt : m_Follower.nextRead(Now)) {
     const auto From = m_Follower.position(*Which);
     m_Store.m_Read(*Which, From,
                    [Self = shared_from_this(), Which = *Which, From, Now](StoreResult Result) {
@@ -84,7 +132,13 @@
 }
 
 void FleetClient::startTimer() {
-  const auto Next = std::min({m_Follower.nextTimer(), m_Catalog.nextTimer(), m_Peers.nextTimer()});
+  TimePoint Next = std::min(m_Catalog.nextTimer(), m_Peers.nextTimer());
+  if (m_Follower.isComplete() || !m_IsFetching) {
+    Next = std::min(Next, m_Follower.nextTimer());
+  }
+  if (needsSnapshot() && !m_IsFetching) {
+    Next = std::min(Next, m_NextFetchAt);
+  }
   m_Timer.expires_at(Next);
   m_Timer.async_wait([Self = shared_from_this()](ErrorCode Failure) {
     if (!Failure && !Self->m_Closed) {
@@ -97,43 +151,62 @@
                          StoreResult Result) {
   const auto Now = SystemClock().now();
   if (!Result) {
-    const StoreFailure &Failed = Result.error();
-    m_Follower.readFailed(Which, Failed.m_IsPositionLost, Now);
-    observe::logFault("store_read_failed", Failed.m_Error);
-    if (m_Follower.failures() == FailuresBeforeSnapshotRequest) {
-      observe::log(LogLevel::Warning, "store_lost", {{"stream", std::string(toString(Which))}});
-    }
-    if (!Failed.m_IsPositionLost && m_Follower.failures() >= FailuresBeforeSnapshotRequest) {
-      requestSnapshot();
-    }
+    onReadFailed(Which, Result.error(), Now);
     runDueTasks();
     return;
   }
   const auto Previous = m_Follower.currentAt(Which);
+  const auto KnownTo = m_Follower.knownTo(Which);
+  const bool IsRange =
+      From && !Result->m_IsWhole && *From + Result->m_Records.size() == Result->m_To;
+  fleet::RecordRange Range{
+      .m_Stream = Which,
+      .m_From = IsRange ? *From : std::min(KnownTo.value_or(Result->m_To), Result->m_To),
+      .m_To = Result->m_To,
+      .m_AskedAt = AskedAt};
   if (m_Follower.readSucceeded(Which, Result->m_To, AskedAt, Now)) {
     observe::log(LogLevel::Info, "store_regained", {});
   }
   recordCatalogCurrent(Previous, Now);
+  if (Result->m_IsWhole && Which == Stream::Servers) {
+    addUnlisted(*Result);
+  }
   std::vector<bool> ShouldAnnounce;
   const bool Changed = applyRecords(Which, *Result, ShouldAnnounce, Now);
-  const bool IsRange =
-      From && !Result->m_IsWhole && *From + Result->m_Records.size() == Result->m_To;
-  fleet::RecordRange Range{.m_Stream = Which,
-                           .m_From = IsRange ? *From : Result->m_To,
-                           .m_To = Result->m_To,
-                           .m_AskedAt = AskedAt};
+  fleet::StoreNews Announcement{.m_Stream = Which, .m_From = Range.m_From, .m_To = Range.m_To};
+  std::size_t First = 0;
   if (IsRange) {
-    Range.m_Records = std::move(Result->m_Records);
-  } else {
-    ShouldAnnounce.clear();
+    // Only records that no VM has announced yet.
+    Announcement.m_From = m_Follower.untoldFrom(Range);
+    First = Announcement.m_From - Range.m_From;
+  } else if (!KnownTo) {
+    First = ShouldAnnounce.size();
+  }
+  for (std::size_t Index = First; Index < ShouldAnnounce.size(); ++Index) {
+    if (ShouldAnnounce[Index]) {
+      Announcement.m_Records.push_back(std::move(Result->m_Records[Index]));
+    }
   }
-  announceRange(Range, ShouldAnnounce, Now);
+  announce(std::move(Announcement), AskedAt, Now);
+  m_Follower.told(Range);
+  relayPending(Now);
   if (Changed) {
     publishSettings();
   }
   runDueTasks();
 }
 
+void FleetClient::onReadFailed(Stream Which, const StoreFailure &Failed, TimePoint Now) {
+  m_Follower.readFailed(Which, Failed.m_IsPositionLost, Now);
+  observe::logFault("store_read_failed", Failed.m_Error);
+  if (m_Follower.failures() == FailuresBeforeFetch) {
+    observe::log(LogLevel::Warning, "store_lost", {{"stream", std::string(toString(Which))}});
+  }
+  if (!Failed.m_IsPositionLost && m_Follower.failures() >= FailuresBeforeFetch) {
+    fetchSnapshot(Now);
+  }
+}
+
 /// Records that this VM knows the content of the store, by its own read or from another VM.
 void FleetClient::recordCatalogCurrent(std::optional<TimePoint> Previous, TimePoint Now) {
   if (m_Lapse.becameCurrent(Previous, Now)) {
@@ -143,29 +216,43 @@
   }
 }
 
+/// Adds a removal for each known server that a listing of all servers does not contain.
+void FleetClient::addUnlisted(StoreRead &Listing) const {
+  std::set<std::string, std::less<>> Listed;
+  for (const fleet::Record &Entry : Listing.m_Records) {
+    Listed.insert(Entry.m_Key);
+  }
+  for (std::string &Id : m_Catalog.missingFrom(Listed)) {
+    Listing.m_Records.push_back({.m_Key = std::move(Id)});
+  }
+}
+
 bool FleetClient::applyRecords(Stream Which, const StoreRead &Read,
                                std::vector<bool> &ShouldAnnounce, TimePoint Now) {
-  bool Changed = false;
-  std::set<std::string, std::less<>> Listed;
+  std::size_t ChangedCount = 0;
+  const bool LogsEach = !Read.m_IsWhole;
   for (const fleet::Record &Entry : Read.m_Records) {
     bool IsNew = false;
     if (Which == Stream::Servers) {
-      Listed.insert(Entry.m_Key);
-      IsNew = applyServer(Entry, Now);
-      // A removal may be held back on this VM but not on others, and vice versa.
-      ShouldAnnounce.push_back(IsNew || !Entry.m_Value || m_Lapse.mayHaveLapsed(Now));
+      // Other VMs may have carried out a removal that is held back here.
+      const bool WasHeldBack = m_Catalog.isRemovalHeld(Entry.m_Key);
+      IsNew = applyServer(Entry, LogsEach && ChangedCount < MaxServerLines, Now);
+      ShouldAnnounce.push_back(IsNew || !Entry.m_Value || WasHeldBack);
     } else {
       const bool IsConfiguration = Entry.m_Key == m_Store.m_ConfigurationKey && Entry.m_Value;
       IsNew = IsConfiguration && applyConfiguration(*Entry.m_Value);
       ShouldAnnounce.push_back(IsConfiguration);
     }
-    Changed = Changed || IsNew;
+    ChangedCount += IsNew ? 1 : 0;
   }
-  if (Which == Stream::Servers && Read.m_IsWhole) {
-    Changed = m_Catalog.keepOnly(Listed, Now) || Changed;
-    std::erase_if(m_ServerTexts, [&](const auto &Known) { return !Listed.contains(Known.first); });
+  if (Which == Stream::Servers && (Read.m_IsWhole || ChangedCount > MaxServerLines)) {
+    observe::log(LogLevel::Info, Read.m_IsWhole ? "servers_listed" : "servers_changed",
+                 {{"position", std::to_string(Read.m_To)},
+                  {"records", std::to_string(Read.m_Records.size())},
+                  {"changed", std::to_string(ChangedCount)},
+                  {"servers", std::to_string(m_Catalog.serverCount())}});
   }
-  return Changed;
+  return ChangedCount > 0;
 }
 
 bool FleetClient::applyConfiguration(const std::string &Text) {
@@ -183,11 +270,12 @@
   return true;
 }
 
-bool FleetClient::applyServer(const fleet::Record &Entry, TimePoint Now) {
+/// \param IsLogged a change gets a log line of its own
+bool FleetClient::applyServer(const fleet::Record &Entry, bool IsLogged, TimePoint Now) {
   if (!Entry.m_Value) {
     const bool Changed = m_Catalog.remove(Entry.m_Key, Now);
     m_ServerTexts.erase(Entry.m_Key);
-    if (Changed) {
+    if (Changed && IsLogged) {
       observe::log(LogLevel::Info, "server_removed", {{"server", Entry.m_Key}});
     }
     return Changed;
@@ -201,7 +289,7 @@
   if (m_Catalog.has(Entry.m_Key)) {
     m_ServerTexts[Entry.m_Key] = *Entry.m_Value;
   }
-  if (Changed) {
+  if (Changed && IsLogged) {
     observe::log(LogLevel::Info, "server_changed",
                  {{"server", Entry.m_Key},
                   {"state", Decoded->m_Draining ? "draining" : "ready"},
@@ -211,30 +299,41 @@
   return Changed;
 }
 
-void FleetClient::announceRange(const fleet::RecordRange &Range,
-                                const std::vector<bool> &ShouldAnnounce, TimePoint Now) {
-  // Only records that no VM has announced yet: many VMs read at once when a fleet starts.
-  fleet::StoreNews Announcement{.m_Stream = Range.m_Stream,
-                                .m_From = m_Follower.untoldFrom(Range),
-                                .m_To = Range.m_To,
-                                .m_Age = Now - Range.m_AskedAt,
-                                .m_MayHaveLapsed = m_Lapse.mayHaveLapsed(Now),
-                                .m_IsSteady = m_Lapse.isSteady(Now)};
-  for (std::size_t Index = Announcement.m_From - Range.m_From; Index < ShouldAnnounce.size();
-       ++Index) {
-    if (ShouldAnnounce[Index]) {
-      Announcement.m_Records.push_back(Range.m_Records[Index]);
-    }
-  }
-  auto Datagrams = fleet::packNews(Announcement, ++m_LastSplitMessage);
-  if (Datagrams.size() > MaxAnnouncedDatagrams) {
+/// Announces what was read from the store to all other VMs: directly to the local ones, and through
+/// relays to those of other data centres, so that each link between data centres carries few
+/// copies.
+void FleetClient::announce(fleet::StoreNews Announcement, TimePoint AskedAt, TimePoint Now) {
+  Announcement.m_Sender = selfInfo();
+  Announcement.m_Age = Now - AskedAt;
+  Announcement.m_MayHaveLapsed = m_Lapse.mayHaveLapsed(Now);
+  Announcement.m_IsSteady = m_Lapse.isSteady(Now);
+  if (fleet::packNews(Announcement, m_LastSplitMessage).size() > MaxAnnouncedDatagrams) {
     Announcement.m_Records.clear();
     Announcement.m_IsPartial = true;
-    Datagrams = fleet::packNews(Announcement, m_LastSplitMessage);
   }
-  sendToAll(Datagrams);
-  m_Follower.told(Range);
-  m_Peers.toldAll(Now);
+  send(m_Peers.local(), Announcement);
+  Announcement.m_IsForRelay = true;
+  send(m_Peers.drawRelays(), Announcement);
+}
+
+/// Relays an announcement whose records have been fetched since it arrived.
+void FleetClient::relayPending(TimePoint Now) {
+  if (!m_PendingRelay) {
+    return;
+  }
+  const auto &[Message, AskedAt] = *m_PendingRelay;
+  if (m_Follower.knownTo(Message.m_Stream).value_or(0) >= Message.m_To) {
+    relay(Message, AskedAt, Now);
+    m_PendingRelay.reset();
+  }
+}
+
+/// Passes an announcement on to the VMs of this data centre.
+void FleetClient::relay(fleet::StoreNews Message, TimePoint AskedAt, TimePoint Now) {
+  Message.m_IsForRelay = false;
+  Message.m_Sender = selfInfo();
+  Message.m_Age = Now - AskedAt;
+  send(m_Peers.local(), Message);
 }
 
 void FleetClient::publishSettings() {
@@ -254,32 +353,52 @@
     return;
   }
   const auto Now = SystemClock().now();
-  if (m_Peers.heard(Ip, Now)) {
-    observe::log(LogLevel::Info, "vm_found", {{"ip", std::string(Ip)}});
-  }
-  std::visit([&](const auto &Typed) { handleMessage(Ip, Typed, Now); }, *Message);
+  std::visit(
+      [&](const auto &Typed) {
+        if constexpr (requires { Typed.m_Sender; }) {
+          m_Peers.heard(Ip, Typed.m_Sender, Now);
+        } else {
+          m_Peers.refresh(Ip, Now);
+        }
+        handleMessage(Ip, Typed, Now);
+      },
+      *Message);
 }
 
-void FleetClient::handleMessage(std::string_view Ip, const fleet::Hello &Message,
-                                TimePoint /*Now*/) {
+void FleetClient::handleMessage(std::string_view Ip, const fleet::Hello &Message, TimePoint Now) {
   if (Message.m_AsksForPeers) {
-    send(std::string(Ip), fleet::PeerList{.m_Ips = m_Peers.all()});
+    const std::string Sender(Ip);
+    send({&Sender, 1},
+         fleet::PeerList{.m_Sender = selfInfo(),
+                         .m_Groups = m_Peers.list(Message.m_Sender.m_DataCenter, Now)});
   }
 }
 
 void FleetClient::handleMessage(std::string_view /*Ip*/, const fleet::PeerList &Message,
                                 TimePoint Now) {
-  for (const std::string &Added : m_Peers.learn(Message.m_Ips, Now)) {
-    send(Added, fleet::Hello{});
+  // The first ones are asked in turn: they may know further VMs, and may have a catalog.
+  constexpr std::size_t AskedAtOnce = 2;
+  const std::vector<std::string> Added = m_Peers.learn(Message.m_Groups, Now);
+  for (std::size_t Index = 0; Index < Added.size(); ++Index) {
+    sendHello(Added[Index], Index < AskedAtOnce);
   }
+  runDueTasks();
 }
 
-void FleetClient::handleMessage(std::string_view /*Ip*/, const fleet::StoreNews &Message,
+void FleetClient::handleMessage(std::string_view Ip, const fleet::StoreNews &Message,
                                 TimePoint Now) {
   const fleet::RecordRange Range{.m_Stream = Message.m_Stream,
                                  .m_From = Message.m_From,
                                  .m_To = Message.m_To,
                                  .m_AskedAt = Now - Message.m_Age};
+  const auto KnownTo = m_Follower.knownTo(Message.m_Stream);
+  const bool HasRecords = !Message.m_IsPartial && KnownTo && *KnownTo >= Message.m_From;
+  const bool IsMissing = !HasRecords && KnownTo.value_or(0) < Message.m_To;
+  if (Message.m_IsForRelay && Message.m_IsPartial && IsMissing) {
+    m_PendingRelay = {Message, Range.m_AskedAt};
+  } else if (Message.m_IsForRelay) {
+    relay(Message, Range.m_AskedAt, Now);
+  }
   const auto Previous = m_Follower.currentAt(Message.m_Stream);
   const bool IsNew = !Message.m_IsPartial && m_Follower.heard(Range, Now);
   if (m_Follower.currentAt(Message.m_Stream) != Previous) {
@@ -288,9 +407,8 @@
   if (m_Lapse.heard(Message.m_IsSteady, Message.m_MayHaveLapsed, Now)) {
     m_Catalog.releaseRemovals(Now);
   }
-  if (Message.m_IsPartial) {
-    m_Follower.told(Range);
-    m_Follower.readSoon(Message.m_Stream, Now);
+  if (IsMissing) {
+    noteMissing(Ip, Message, Now);
   } else if (IsNew) {
     std::vector<bool> Ignored;
     if (applyRecords(Message.m_Stream, {.m_To = Message.m_To, .m_Records = Message.m_Records},
@@ -301,73 +419,162 @@
   runDueTasks();
 }
 
+/// Another VM announced records that are missing here: they are fetched soon.
+void FleetClient::noteMissing(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now) {
+  std::uint64_t &WantedTo =
+      Message.m_Stream == Stream::Configuration ? m_Wanted.m_ConfigurationTo : m_Wanted.m_ServersTo;
+  WantedTo = std::max(WantedTo, Message.m_To);
+  m_Announcer = std::string(Ip);
+  m_Follower.readSoon(Message.m_Stream, Message.m_To, Now);
+  if (m_NextFetchAt > Now) {
+    return;
+  }
+  if (Message.m_IsForRelay) {
+    m_NextFetchAt = Now;
+    return;
+  }
+  // Not all VMs at the same time: each fetch takes a part of the source's link, and those that
+  // fetched early are further sources.
+  std::uniform_int_distribution<Duration::rep> Delay(0, MaxFetchDelay.count());
+  m_NextFetchAt = Now + Duration(Delay(m_Random));
+}
+
 void FleetClient::handleMessage(std::string_view /*Ip*/, const fleet::ServerFailed &Message,
                                 TimePoint /*Now*/) {
   m_Options.m_OnServerFailed(Message.m_Server);
 }
 
-/// Asks a random other VM for a snapshot, because the store does not answer this VM.
-void FleetClient::requestSnapshot() {
-  const std::vector<std::string> Others = m_Peers.all();
-  if (Others.empty()) {
-    return;
+void FleetClient::handleMessage(std::string_view Ip, const fleet::Piece &Message,
+                                TimePoint /*Now*/) {
+  if (const auto Frame = m_Pieces.take(Ip, Message)) {
+    onDatagram(Ip, *Frame);
   }
-  std::uniform_int_distribution<std::size_t> Position(0, Others.size() - 1);
-  send(
-      Others[Position(m_Random)],
-      fleet::SnapshotWanted{.m_Version = m_Catalog.version(),
-                            .m_ServersPosition = m_Follower.position(Stream::Servers).value_or(0)});
 }
 
-void FleetClient::handleMessage(std::string_view Ip, const fleet::SnapshotWanted &Message,
+void FleetClient::handleMessage(std::string_view Ip, const fleet::Snapshot & /*Message*/,
                                 TimePoint /*Now*/) {
-  const std::uint64_t Servers = m_Follower.position(Stream::Servers).value_or(0);
-  const bool HasNewerVersion = m_Catalog.version() > Message.m_Version;
-  if (!HasNewerVersion && Servers <= Message.m_ServersPosition) {
-    return;
-  }
-  fleet::Snapshot SnapshotReply{.m_ConfigurationPosition =
-                                    m_Follower.position(Stream::Configuration).value_or(0),
-                                .m_ServersPosition = Servers};
-  if (HasNewerVersion) {
-    SnapshotReply.m_ConfigurationText = m_ConfigurationText;
-  }
+  observe::logFault("datagram_refused", {Errc::PeerFrameMalformed, "read datagram", std::string(Ip),
+                                         "snapshots are not sent as datagrams"});
+}
+
+std::string FleetClient::snapshotFrame(const fleet::SnapshotRequest &Wanted) {
+  const auto Now = SystemClock().now();
+  if (!isKnown(Wanted)) {
+    return {};
+  }
+  const bool HasWanted = m_SnapshotOffsets.m_ConfigurationTo >= Wanted.m_ConfigurationTo &&
+                         m_SnapshotOffsets.m_ServersTo >= Wanted.m_ServersTo;
+  if (!m_SnapshotFrame.empty() && HasWanted && Now - m_SnapshotMadeAt < SnapshotLifetime) {
+    return m_SnapshotFrame;
+  }
+  // The frame may be sent for some time, so its content is that much older at the end.
+  const auto AgeOf = [&](Stream Which) {
+    return Now - m_Follower.currentAt(Which).value_or(Now) + SnapshotLifetime;
+  };
+  fleet::Snapshot Content{.m_ConfigurationPosition =
+                              m_Follower.knownTo(Stream::Configuration).value_or(0),
+                          .m_ConfigurationAge = AgeOf(Stream::Configuration),
+                          .m_ConfigurationText = m_ConfigurationText,
+                          .m_ServersPosition = m_Follower.knownTo(Stream::Servers).value_or(0),
+                          .m_ServersAge = AgeOf(Stream::Servers)};
   for (const auto &[Id, Text] : m_ServerTexts) {
-    SnapshotReply.m_Servers.push_back({.m_Key = Id, .m_Value = Text});
+    Content.m_Servers.push_back({.m_Key = Id, .m_Value = Text});
+  }
+  m_SnapshotFrame = fleet::encodeCompressed(Content);
+  m_SnapshotMadeAt = Now;
+  m_SnapshotOffsets = {.m_ConfigurationTo = Content.m_ConfigurationPosition,
+                       .m_ServersTo = Content.m_ServersPosition};
+  return m_SnapshotFrame;
+}
+
+/// Whether another VM is known to have read more of the store than this one.
+bool FleetClient::needsSnapshot() const {
+  return !m_Announcer.empty() ? !isKnown(m_Wanted)
+                              : !m_Follower.isComplete() && m_Peers.hasLocalCatalog();
+}
+
+bool FleetClient::isKnown(const fleet::SnapshotRequest &Wanted) const {
+  return m_Follower.isComplete() &&
+         *m_Follower.knownTo(Stream::Configuration) >= Wanted.m_ConfigurationTo &&
+         *m_Follower.knownTo(Stream::Servers) >= Wanted.m_ServersTo;
+}
+
+/// Fetches the snapshot of another VM, because this one has no catalog yet or the store does not
+/// answer.
+void FleetClient::fetchSnapshot(TimePoint Now) {
+  if (m_IsFetching || Now < m_NextFetchAt) {
+    return;
   }
-  for (const std::string &Datagram : fleet::packNews(SnapshotReply, ++m_LastSplitMessage)) {
-    m_DatagramSocket->send(std::string(Ip), Datagram);
+  // The announcer has the records; local VMs that fetched them before may have them, too.
+  constexpr double AnnouncerShare = 0.25;
+  const bool UsesAnnouncer =
+      !m_Announcer.empty() &&
+      (m_PendingRelay || std::bernoulli_distribution(AnnouncerShare)(m_Random));
+  const auto Source = UsesAnnouncer ? std::optional(m_Announcer) : m_Peers.drawSnapshotSource();
+  if (!Source) {
+    return;
   }
+  m_IsFetching = true;
+  m_Options.m_FetchSnapshot(
+      *Source, m_Wanted,
+      [Self = weak_from_this(), Ip = *Source, Now](const Result<std::string> &Frame) {
+        const auto Locked = Self.lock();
+        if (Locked && !Locked->m_Closed) {
+          Locked->onSnapshot(Ip, Now, Frame);
+        }
+      });
 }
 
-void FleetClient::handleMessage(std::string_view Ip, const fleet::Piece &Message,
-                                TimePoint /*Now*/) {
-  if (const auto Frame = m_Pieces.take(Ip, Message)) {
-    onDatagram(Ip, *Frame);
+void FleetClient::onSnapshot(const std::string &Ip, TimePoint AskedAt,
+                             const Result<std::string> &Frame) {
+  const auto Now = SystemClock().now();
+  m_IsFetching = false;
+  m_NextFetchAt = Now + FetchPause;
+  auto Message = Frame ? fleet::decodeNews(*Frame) : Result<fleet::News>(Frame.error());
+  if (Message && !std::holds_alternative<fleet::Snapshot>(*Message)) {
+    Message = Error{Errc::PeerFrameMalformed, "fetch snapshot", Ip, "not a snapshot"};
+  }
+  if (!Message) {
+    observe::logFault("snapshot_failed", Message.error());
+  } else {
+    adoptSnapshot(Ip, std::get<fleet::Snapshot>(*Message), AskedAt, Now);
+    relayPending(Now);
   }
+  runDueTasks();
 }
 
-void FleetClient::handleMessage(std::string_view Ip, const fleet::Snapshot &Message,
-                                TimePoint Now) {
+void FleetClient::adoptSnapshot(const std::string &Ip, const fleet::Snapshot &Received,
+                                TimePoint AskedAt, TimePoint Now) {
   bool Changed =
-      !Message.m_ConfigurationText.empty() && applyConfiguration(Message.m_ConfigurationText);
-  if (Message.m_ServersPosition > m_Follower.position(Stream::Servers).value_or(0)) {
+      !Received.m_ConfigurationText.empty() && applyConfiguration(Received.m_ConfigurationText);
+  m_Follower.adopt(Stream::Configuration, Received.m_ConfigurationPosition,
+                   AskedAt - Received.m_ConfigurationAge);
+  const auto KnownTo = m_Follower.knownTo(Stream::Servers);
+  if (!KnownTo || Received.m_ServersPosition > *KnownTo) {
+    const auto Previous = m_Follower.currentAt(Stream::Servers);
+    m_Follower.adopt(Stream::Servers, Received.m_ServersPosition, AskedAt - Received.m_ServersAge);
+    recordCatalogCurrent(Previous, Now);
+    StoreRead Listing{
+        .m_To = Received.m_ServersPosition, .m_Records = Received.m_Servers, .m_IsWhole = true};
+    addUnlisted(Listing);
     std::vector<bool> Ignored;
-    Changed =
-        applyRecords(
-            Stream::Servers,
-            {.m_To = Message.m_ServersPosition, .m_Records = Message.m_Servers, .m_IsWhole = true},
-            Ignored, Now) ||
-        Changed;
-    m_Follower.jumpTo(Stream::Servers, Message.m_ServersPosition);
+    Changed = applyRecords(Stream::Servers, Listing, Ignored, Now) || Changed;
   }
   observe::log(LogLevel::Info, "snapshot_taken",
-               {{"from", std::string(Ip)}, {"version", std::to_string(m_Catalog.version())}});
+               {{"from", Ip},
+                {"version", std::to_string(m_Catalog.version())},
+                {"servers_age_ms", std::to_string(toMillis(Received.m_ServersAge))}});
   if (Changed) {
     publishSettings();
   }
 }
 
+fleet::VmInfo FleetClient::selfInfo() const {
+  return {.m_DataCenter = m_Options.m_Peers.m_DataCenter,
+          .m_LocalVms = static_cast<std::uint32_t>(m_Peers.localSize()),
+          .m_HasCatalog = m_Follower.isComplete()};
+}
+
 /// Whether the fleet size differs by more than a fifth of the larger size from the one for which
 /// the budget shares were computed.
 bool FleetClient::hasFleetSizeChanged() const {
@@ -378,16 +585,30 @@
   return (Larger - Smaller) * Tolerance > Larger;
 }
 
+void FleetClient::logFleetSize() {
+  const std::size_t Present = m_Peers.fleetSize();
+  if (Present == m_LoggedFleetSize) {
+    return;
+  }
+  m_LoggedFleetSize = Present;
+  observe::log(LogLevel::Info, "fleet_size",
+               {{"vms", std::to_string(Present)}, {"local", std::to_string(m_Peers.localSize())}});
+}
+
 void FleetClient::sendDueHellos() {
-  const auto Due = m_Peers.dueHellos(SystemClock().now());
-  for (const std::string &Ip : Due) {
-    send(Ip, fleet::Hello{.m_AsksForPeers = m_Peers.isAlone()});
+  for (const fleet::DueHello &Due : m_Peers.dueHellos(SystemClock().now())) {
+    sendHello(Due.m_Ip, Due.m_AsksForPeers);
   }
 }
 
+void FleetClient::sendHello(const std::string &Ip, bool AsksForPeers) {
+  send({&Ip, 1}, fleet::Hello{.m_Sender = selfInfo(), .m_AsksForPeers = AsksForPeers});
+}
+
+/// Local VMs only: these send to the same servers first.
 void FleetClient::tellServerFailed(ServerId Server) {
   if (mayAnnounceFailure(Server, SystemClock().now())) {
-    sendToAll(std::array{fleet::encodeNews(fleet::ServerFailed{.m_Server = Server})});
+    send(m_Peers.local(), fleet::ServerFailed{.m_Server = Server});
   }
 }
 
@@ -403,16 +624,13 @@
   return true;
 }
 
-void FleetClient::sendToAll(std::span<const std::string> Datagrams) {
-  for (const std::string &Ip : m_Peers.all()) {
+void FleetClient::send(std::span<const std::string> Ips, const fleet::News &Message) {
+  const auto Datagrams = fleet::packNews(Message, ++m_LastSplitMessage);
+  for (const std::string &Ip : Ips) {
     for (const std::string &Datagram : Datagrams) {
       m_DatagramSocket->send(Ip, Datagram);
     }
   }
 }
 
-void FleetClient::send(const std::string &Ip, const fleet::News &Message) {
-  m_DatagramSocket->send(Ip, fleet::encodeNews(Message));
-}
-
 } // namespace vanillahill::net
--- /dev/null
+++ b/tests/unit-fleet-client.cpp
@@ -0,0 +1,163 @@
+#include "vanillahill/net/detail/fleet_client.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanillahill::net {
+namespace {
+
+using fleet::Record;
+using fleet::Stream;
+using std::chrono::milliseconds;
+
+/// The store of a test: a log of server records and one configuration, without a network.
+struct Store {
+  std::vector<Record> m_Servers;
+  /// Offset of the oldest record that can still be read.
+  std::size_t m_FirstKept = 0;
+
+  StoreResult read(Stream Which, std::optional<std::uint64_t> From) {
+    if (Which == Stream::Configuration) {
+      return StoreRead{.m_To = 1, .m_Records = {{"config", "1"}}, .m_IsWhole = !From};
+    }
+    if (From && *From < m_FirstKept) {
+      return StoreFailure{.m_Error = {Errc::LogUnavailable, "read", "", "deleted"},
+                          .m_IsPositionLost = true};
+    }
+    StoreRead Read{.m_To = m_Servers.size(), .m_IsWhole = !From};
+    if (From) {
+      Read.m_Records.assign(m_Servers.begin() + static_cast<std::ptrdiff_t>(*From),
+                            m_Servers.end());
+      return Read;
+    }
+    std::map<std::string, std::string> Newest;
+    for (const Record &Entry : m_Servers) {
+      if (Entry.m_Value) {
+        Newest[Entry.m_Key] = *Entry.m_Value;
+      } else {
+        Newest.erase(Entry.m_Key);
+      }
+    }
+    for (const auto &[Key, Value] : Newest) {
+      Read.m_Records.push_back({.m_Key = Key, .m_Value = Value});
+    }
+    return Read;
+  }
+};
+
+Result<fleet::Configuration> decodeConfiguration(std::string_view /*Text*/) {
+  return fleet::Configuration{.m_Version = 1, .m_Services = {{.m_Name = "svc"}}};
+}
+
+/// The text of a server's record is its sequence number.
+Result<fleet::ServerEntry> decodeServer(std::string_view Id, std::string_view Text) {
+  return fleet::ServerEntry{.m_Id = std::string(Id),
+                            .m_Service = "svc",
+                            .m_Address = "127.0.0.1:1",
+                            .m_BornMillis = 1,
+                            .m_Sequence = std::stoull(std::string(Text))};
+}
+
+/// VMs in one process that exchange datagrams over loopback. Snapshots are fetched by a call.
+class FleetClientTest : public testing::Test {
+protected:
+  std::shared_ptr<FleetClient> start(const std::string &Ip, Duration Bound,
+                                     std::vector<std::string> SeedIps, Store &Source) {
+    auto PeerSocket = Datagrams::open(m_Io, Ip, m_Port).value();
+    StoreAccess Access{.m_Read =
+                           [this, &Source, Ip](Stream Which, std::optional<std::uint64_t> From,
+                                               const StoreReadDone &Done) {
+                             m_ServerReads[Ip] += Which == Stream::Servers ? 1 : 0;
+                             asio::post(m_Io,
+                                        [Done, Read = Source.read(Which, From)] { Done(Read); });
+                           },
+                       .m_DecodeConfiguration = &decodeConfiguration,
+                       .m_DecodeServer = &decodeServer,
+                       .m_ConfigurationKey = "config"};
+    const auto Client = std::make_shared<FleetClient>(
+        m_Io, std::move(Access), std::move(PeerSocket),
+        FleetClientOptions{
+            .m_Follower = {.m_Bound = Bound},
+            .m_Peers = {.m_SelfIp = Ip, .m_DataCenter = "dc1", .m_SeedIps = std::move(SeedIps)},
+            .m_OnSettings = [](const std::shared_ptr<const SiteSettings> &) {},
+            .m_OnServerFailed = [](ServerId) {},
+            .m_FetchSnapshot =
+                [this](const std::string &From, const fleet::SnapshotRequest &Wanted,
+                       const SnapshotDone &Done) {
+                  ++m_Fetches;
+                  std::string Frame = m_Clients.at(From)->snapshotFrame(Wanted);
+                  asio::post(m_Io, [Done, Moved = std::move(Frame)] { Done(Moved); });
+                }});
+    m_Clients[Ip] = Client;
+    Client->start();
+    return Client;
+  }
+
+  /// Runs the VMs until a condition holds. If it never does, the test ends by its time limit.
+  template <typename Condition> void runUntil(Condition IsMet) {
+    while (!IsMet()) {
+      m_Io.run_one_for(milliseconds(20));
+    }
+  }
+
+  ~FleetClientTest() override {
+    for (const auto &[Ip, Client] : m_Clients) {
+      Client->close();
+    }
+    m_Io.restart();
+    m_Io.poll();
+  }
+
+  static std::uint16_t freePort(asio::io_context &Io) {
+    asio::ip::udp::socket Probe(Io, {asio::ip::make_address("127.0.0.1"), 0});
+    return Probe.local_endpoint().port();
+  }
+
+  asio::io_context m_Io{1};
+  const std::uint16_t m_Port = freePort(m_Io);
+  std::map<std::string, std::shared_ptr<FleetClient>> m_Clients;
+  /// Reads of the servers' stream by each VM.
+  std::map<std::string, int> m_ServerReads;
+  int m_Fetches = 0;
+};
+
+/// A bound after which no test reads the store a second time.
+constexpr Duration LongBound = std::chrono::hours(1);
+constexpr Duration ShortBound = milliseconds(200);
+
+TEST_F(FleetClientTest, AVmThatStartsTakesTheCatalogFromALocalVm) {
+  Store Source{.m_Servers = {{"s1", "1"}, {"s2", "1"}}};
+  const auto First = start("127.0.0.1", LongBound, {}, Source);
+  runUntil([&] { return First->isUsable(); });
+  const auto Second = start("127.0.0.2", LongBound, {"127.0.0.1"}, Source);
+  runUntil([&] { return Second->isUsable(); });
+  EXPECT_EQ(Second->serverCount(), 2U);
+  EXPECT_EQ(Second->version(), 1U);
+  EXPECT_EQ(m_Fetches, 1);
+  EXPECT_EQ(m_ServerReads["127.0.0.2"], 0);
+}
+
+TEST_F(FleetClientTest, AVmThatStartsReadsTheStoreWhenItsSeedsAreDown) {
+  Store Source{.m_Servers = {{"s1", "1"}}};
+  const auto Alone = start("127.0.0.1", LongBound, {"127.0.0.9"}, Source);
+  runUntil([&] { return Alone->isUsable(); });
+  EXPECT_EQ(m_Fetches, 0);
+}
+
+/// When the store has deleted the records that one VM would read next, that VM lists all servers
+/// and announces the difference. The others need no listing of their own.
+TEST_F(FleetClientTest, TheDifferenceFoundByAListingIsAnnounced) {
+  Store Source{.m_Servers = {{"s1", "1"}, {"s2", "1"}}};
+  const auto Other = start("127.0.0.2", LongBound, {}, Source);
+  runUntil([&] { return Other->isUsable(); });
+  const auto Reader = start("127.0.0.1", ShortBound, {"127.0.0.2"}, Source);
+  runUntil([&] { return Reader->isUsable() && Reader->fleetSize() == 2; });
+  Source.m_Servers.push_back({"s1", std::nullopt});
+  Source.m_Servers.push_back({"s3", "1"});
+  Source.m_Servers.push_back({"s4", "1"});
+  Source.m_FirstKept = Source.m_Servers.size();
+  runUntil([&] { return Reader->serverCount() == 3 && Other->serverCount() == 3; });
+  EXPECT_EQ(m_ServerReads["127.0.0.2"], 1) << "only the one at its start";
+}
+
+} // namespace
+} // namespace vanillahill::net
