Datagrams: a closed socket is not read again

Cause: a datagram that was queued when the socket was closed completes without operation_aborted; the next receive failed at once and was repeated without end, so a stop could spin. Change: no receive on a closed socket.

--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -157,8 +157,8 @@
   const std::size_t ProbeCount = std::min(Wanted, m_ProbeBudget.roundSize(Wanted, Now));
   NewlySampled.resize(ProbeCount);
   // Servers with recent reports make up for the probes that the budget does not allow.
-  for (const BackendIndex Index : recentBackends(m_Backends, Criteria, CurrentSearch.m_Sampled,
-                                                 Wanted - ProbeCount, Now)) {
+  for (const BackendIndex Index :
+       recentBackends(m_Backends, Criteria, CurrentSearch.m_Sampled, Wanted - ProbeCount, Now)) {
     if (std::find(NewlySampled.begin(), NewlySampled.end(), Index) == NewlySampled.end()) {
       CurrentSearch.m_Sampled.push_back(Index);
     }
@@ -218,9 +218,8 @@
   const bool IsGood = Best && Best->m_IsGood;
   // A request is not refused on the word of few servers: for that, the last probes are used.
   const bool HasFewSampled = Pending.m_Search->m_Sampled.size() < ServersPerRound;
-  const bool NeedsRound =
-      HasFewSampled && Pending.m_Purpose != SearchPurpose::Hedge && Best &&
-      !hasRoom(Pending, *Best, Now) && m_ProbeBudget.roundSize(1, Now) > 0;
+  const bool NeedsRound = HasFewSampled && Pending.m_Purpose != SearchPurpose::Hedge && Best &&
+                          !hasRoom(Pending, *Best, Now) && m_ProbeBudget.roundSize(1, Now) > 0;
   const bool MayStartRound = m_ReportsLoad != false && Pending.m_Search->m_Rounds < MaxRounds &&
                              (m_ProbeBudget.allowsMoreRounds(Now) || NeedsRound);
   if (!IsGood && MayStartRound && Pending.m_Search->m_Sampled.size() < m_Backends.size()) {
--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -35,7 +35,9 @@
   m_Socket.async_receive_from(
       asio::buffer(m_Buffer), m_From,
       [Self = shared_from_this()](ErrorCode Failure, std::size_t Count) {
-        if (Failure == asio::error::operation_aborted) {
+        // A datagram may have been queued before the socket was closed: then there is no
+        // operation_aborted, and another receive would fail at once, again and again.
+        if (Failure == asio::error::operation_aborted || !Self->m_Socket.is_open()) {
           return;
         }
         if (!Failure && Self->m_OnDatagram) {
--- a/tests/unit-peers.cpp
+++ b/tests/unit-peers.cpp
@@ -20,6 +20,7 @@
 
 std::vector<std::string> ipsOf(const std::vector<DueHello> &Due) {
   std::vector<std::string> Ips;
+  Ips.reserve(Due.size());
   for (const DueHello &Hello : Due) {
     Ips.push_back(Hello.m_Ip);
   }
