Test of a large fleet: VMs are found by address in constant time

Cause: the simulated network searched 504 addresses for each datagram; under the address sanitizer the test ran for minutes. Change: an index, nothing that is checked.

--- a/tests/unit-peers.cpp
+++ b/tests/unit-peers.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <queue>
+#include <unordered_map>
 
 namespace vanillahill::fleet {
 namespace {
@@ -119,6 +120,7 @@
       : m_LossShare(LossShare), m_Random(Seed) {
     std::uniform_int_distribution<int> StartDelay(0, 300);
     for (std::size_t Vm = 0; Vm < Vms; ++Vm) {
+      m_VmOfIp.emplace(ipOf(Vm), Vm);
       m_Vms.push_back({.m_Ip = ipOf(Vm), .m_StartsAt = Start + milliseconds(StartDelay(m_Random))});
     }
     // One of the three seeds never runs.
@@ -222,12 +224,11 @@
 
   void send(std::size_t From, const std::string &Ip, News Message) {
     ++m_Datagrams;
-    const auto Found = std::find_if(m_Vms.begin(), m_Vms.end(),
-                                    [&Ip](const SimulatedVm &Other) { return Other.m_Ip == Ip; });
-    if (Found == m_Vms.end() || std::bernoulli_distribution(m_LossShare)(m_Random)) {
+    const auto Found = m_VmOfIp.find(Ip);
+    if (Found == m_VmOfIp.end() || std::bernoulli_distribution(m_LossShare)(m_Random)) {
       return;
     }
-    const auto To = static_cast<std::size_t>(Found - m_Vms.begin());
+    const std::size_t To = Found->second;
     m_DatagramsBetweenDataCenters += From % DataCenters == To % DataCenters ? 0 : 1;
     std::uniform_int_distribution<int> TransitMillis(1, 4);
     m_InTransit.push({.m_At = m_Now + milliseconds(TransitMillis(m_Random)),
@@ -262,6 +263,7 @@
   std::mt19937_64 m_Random;
   TimePoint m_Now = Start;
   std::vector<SimulatedVm> m_Vms;
+  std::unordered_map<std::string, std::size_t> m_VmOfIp;
   std::vector<std::string> m_Seeds;
   std::priority_queue<Transit> m_InTransit;
 };
