--- a/include/vanillahill/fleet/peers.hpp
+++ b/include/vanillahill/fleet/peers.hpp
@@ -26,7 +26,7 @@
 /// A hello that is to be sent now.
 struct DueHello {
   std::string m_Ip;
-  /// The receiver is asked which VMs it knows.
+  /// The hello requests a list of the VMs that the receiver knows.
   bool m_AsksForPeers = false;
 };
 
@@ -58,7 +58,7 @@
   /// VMs of each remote data centre that a message for the whole fleet is sent to; each passes it
   /// on in its data centre. With two, the loss of one datagram or VM delays nothing.
   static constexpr std::size_t RelaysPerDataCenter = 2;
-  /// Relays are drawn from this many of the VMs that were heard from last.
+  /// Relays are drawn from this many of the VMs with the most recent messages.
   static constexpr std::size_t RelayCandidates = 4;
   /// Limits on the addresses in a list: of the receiver's data centre, and of each other one.
   static constexpr std::size_t MaxListedLocalVms = 200;
@@ -123,7 +123,7 @@
   };
   struct RemoteGroup {
     std::uint32_t m_Vms = 0;
-    /// When the number of VMs was heard.
+    /// When the number of VMs was received.
     TimePoint m_CountedAt{};
     std::map<std::string, TimePoint, std::less<>> m_LastHeard;
   };
@@ -136,7 +136,7 @@
   void learnLocal(const VmGroup &Named, TimePoint Now, std::vector<std::string> &Added);
   void learnRemote(const VmGroup &Named, TimePoint Now);
   static void trimGroup(RemoteGroup &Group);
-  /// At most Count VMs of a group, those heard from last first.
+  /// At most Count VMs of a group, in order of their last message, the most recent first.
   static std::vector<std::string> mostRecent(const RemoteGroup &Group, std::size_t Count);
   template <typename Container> std::size_t drawIndex(const Container &From);
 
