Store client: failing test of a large record over a slow link

One hypothesis: a read of the store is dropped after a fixed 700 ms and repeated from the start, so a VM whose link needs longer for the configuration never reads it. The test sends an answer of 400 kB in 24 pieces, one every 50 ms.

The encoders of the fake store become free functions, so that the new test can use them.

--- a/tests/store_fake.hpp
+++ b/tests/store_fake.hpp
@@ -15,6 +15,18 @@
 /// Fault with which the store answers every call.
 enum class StoreFault { None, Answers503, SendsNoAnswer };
 
+inline std::string formatReply(const std::string &Status, const std::string &Body) {
+  return "HTTP/1.1 " + Status + "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+template <typename T> std::string encodeBigEndian(T Value) {
+  std::string Bytes(sizeof(T), '\0');
+  boost::endian::endian_store<T, sizeof(T), boost::endian::order::big>(
+      reinterpret_cast<unsigned char *>(Bytes.data()), Value);
+  return Bytes;
+}
+
 class FakeStore {
 public:
   FakeStore() : m_Server([this](const auto &Request) { return answer(Request); }) {}
@@ -83,18 +95,6 @@
     return formatReply("200 OK", encodeRecords(Wanted, From));
   }
 
-  static std::string formatReply(const std::string &Status, const std::string &Body) {
-    return "HTTP/1.1 " + Status + "\r\nContent-Length: " + std::to_string(Body.size()) +
-           "\r\n\r\n" + Body;
-  }
-
-  template <typename T> static std::string encodeBigEndian(T Value) {
-    std::string Bytes(sizeof(T), '\0');
-    boost::endian::endian_store<T, sizeof(T), boost::endian::order::big>(
-        reinterpret_cast<unsigned char *>(Bytes.data()), Value);
-    return Bytes;
-  }
-
   static std::string encodeRecords(const Topic &Wanted, std::uint64_t From) {
     std::string Body = encodeBigEndian<std::uint64_t>(Wanted.m_Records.size()) +
                        encodeBigEndian<std::uint64_t>(Wanted.m_First);
--- /dev/null
+++ b/tests/unit-store-client.cpp
@@ -0,0 +1,94 @@
+#include "store_client.hpp"
+#include "store_fake.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanillahill::wire::fakes {
+namespace {
+
+using net::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+/// A store behind a slow link: it sends each answer in pieces with a pause after each one.
+class SlowStore {
+public:
+  SlowStore(std::string Answer, std::size_t Pieces, milliseconds Pause)
+      : m_Answer(std::move(Answer)), m_Pieces(Pieces), m_Pause(Pause),
+        m_Acceptor(m_Io, net::fakes::loopback(0)), m_Thread([this] { serve(); }) {}
+
+  ~SlowStore() {
+    m_IsStopping = true;
+    boost::system::error_code Ignored;
+    tcp::socket Waker(m_Io);
+    Waker.connect(net::fakes::loopback(port()), Ignored);
+    m_Thread.join();
+  }
+  SlowStore(const SlowStore &) = delete;
+  SlowStore &operator=(const SlowStore &) = delete;
+
+  std::uint16_t port() const { return m_Acceptor.local_endpoint().port(); }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
+
+private:
+  void serve() {
+    while (!m_IsStopping) {
+      boost::system::error_code Failure;
+      tcp::socket Stream(m_Io);
+      m_Acceptor.accept(Stream, Failure);
+      boost::beast::flat_buffer Buffer;
+      net::fakes::BackendRequest Request;
+      net::http::read(Stream, Buffer, Request, Failure);
+      const std::size_t PieceBytes = m_Answer.size() / m_Pieces + 1;
+      for (std::size_t At = 0; At < m_Answer.size() && !Failure && !m_IsStopping;
+           At += PieceBytes) {
+        const std::string_view Piece = std::string_view(m_Answer).substr(At, PieceBytes);
+        net::asio::write(Stream, net::asio::buffer(Piece.data(), Piece.size()), Failure);
+        std::this_thread::sleep_for(m_Pause);
+      }
+    }
+  }
+
+  const std::string m_Answer;
+  const std::size_t m_Pieces;
+  const milliseconds m_Pause;
+  std::atomic<bool> m_IsStopping = false;
+  net::asio::io_context m_Io;
+  tcp::acceptor m_Acceptor;
+  std::thread m_Thread;
+};
+
+/// The answer to a read: one configuration record of the given size.
+std::string largeAnswer(std::size_t ValueBytes) {
+  const std::string Key = "config";
+  const std::string Raw =
+      std::string(1, static_cast<char>(Key.size())) + Key + std::string(ValueBytes, 'x');
+  const std::string Body = encodeBigEndian<std::uint64_t>(1) + encodeBigEndian<std::uint64_t>(0) +
+                           encodeBigEndian(static_cast<std::uint32_t>(Raw.size())) + Raw;
+  return formatReply("200 OK", Body);
+}
+
+StoreResult readConfiguration(const std::string &Address) {
+  net::asio::io_context Io{1};
+  const auto Store = std::make_shared<StoreClient>(Io, Address);
+  std::optional<StoreResult> Result;
+  Store->readStream(fleet::Stream::Configuration, 0, [&](StoreResult Read) {
+    Result.emplace(std::move(Read));
+    Store->close();
+  });
+  Io.run();
+  return std::move(*Result);
+}
+
+/// A configuration of thousands of routes takes longer than a second on a link of 10 Mbit/s. Reads
+/// of it were dropped after a fixed time and repeated from the start, so that they never ended.
+TEST(StoreClient, ALargeRecordThatKeepsArrivingIsReadToItsEnd) {
+  constexpr std::size_t ValueBytes = 400000;
+  const SlowStore Store(largeAnswer(ValueBytes), 24, milliseconds(50));
+  const StoreResult Read = readConfiguration(Store.address());
+  ASSERT_TRUE(Read) << Read.error().m_Error.m_Detail;
+  ASSERT_EQ(Read->m_Records.size(), 1U);
+  EXPECT_EQ(Read->m_Records[0].m_Value->size(), ValueBytes);
+}
+
+} // namespace
+} // namespace vanillahill::wire::fakes
