--- a/include/vanillahill/net/detail/platform_channel.hpp
+++ b/include/vanillahill/net/detail/platform_channel.hpp
@@ -2,6 +2,7 @@
 /// One connection to the platform, for one request at a time.
 #pragma once
 
+#include "vanillahill/net/detail/progress_timeout.hpp"
 #include "vanillahill/net/detail/types.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -16,6 +17,7 @@
   http::verb m_Method = http::verb::get;
   std::string m_Target;
   std::string m_Body = {};
+  /// The request fails when nothing arrives for this long.
   Duration m_Timeout = std::chrono::seconds(2);
 };
 
@@ -44,7 +46,7 @@
 
   void connect();
   void sendRequest();
-  void receiveReply();
+  void receiveSome();
   void handleCompletion(ErrorCode Failure);
   void completeRequest(Result<std::string> Outcome);
   Error requestError(std::string Detail) const;
@@ -54,6 +56,7 @@
   Timer m_Timer;
   beast::flat_buffer m_Buffer;
   PlatformRequest m_CurrentRequest;
+  ProgressTimeout m_Progress{{}};
   Handler m_Done;
   http::request<http::string_body> m_Request;
   std::optional<http::response_parser<http::string_body>> m_Parser;
--- a/src/net/platform_channel.cpp
+++ b/src/net/platform_channel.cpp
@@ -18,7 +18,9 @@
                                            Then = std::move(Done)]() mutable {
     Self->m_CurrentRequest = std::move(Moved);
     Self->m_Done = std::move(Then);
-    Self->m_Stream.expires_after(Self->m_CurrentRequest.m_Timeout);
+    Self->m_Progress = ProgressTimeout({.m_MaxSilence = Self->m_CurrentRequest.m_Timeout});
+    Self->m_Progress.start(SystemClock().now());
+    Self->m_Stream.expires_at(Self->m_Progress.expiresAt());
     if (Self->m_IsConnected) {
       Self->sendRequest();
     } else {
@@ -79,17 +81,24 @@
                         Self->handleCompletion(Failure);
                         return;
                       }
-                      Self->receiveReply();
+                      Self->m_Parser.emplace();
+                      Self->m_Parser->body_limit(MaxReplyBytes);
+                      Self->m_Parser->eager(true);
+                      Self->receiveSome();
                     });
 }
 
-void PlatformChannel::receiveReply() {
-  m_Parser.emplace();
-  m_Parser->body_limit(MaxReplyBytes);
-  http::async_read(m_Stream, m_Buffer, *m_Parser,
-                   [Self = shared_from_this()](ErrorCode Failure, std::size_t) {
-                     Self->handleCompletion(Failure);
-                   });
+void PlatformChannel::receiveSome() {
+  m_Stream.expires_at(m_Progress.expiresAt());
+  http::async_read_some(m_Stream, m_Buffer, *m_Parser,
+                        [Self = shared_from_this()](ErrorCode Failure, std::size_t) {
+                          Self->m_Progress.progressed(SystemClock().now());
+                          if (Failure || Self->m_Parser->is_done()) {
+                            Self->handleCompletion(Failure);
+                          } else {
+                            Self->receiveSome();
+                          }
+                        });
 }
 
 void PlatformChannel::handleCompletion(ErrorCode Failure) {
--- a/tests/unit-store-client.cpp
+++ b/tests/unit-store-client.cpp
@@ -90,5 +90,13 @@
   EXPECT_EQ(Read->m_Records[0].m_Value->size(), ValueBytes);
 }
 
+TEST(StoreClient, AnAnswerThatStopsArrivingFails) {
+  const SlowStore Store(largeAnswer(1000), 2, milliseconds(1500));
+  const StoreResult Read = readConfiguration(Store.address());
+  ASSERT_FALSE(Read);
+  EXPECT_FALSE(Read.error().m_IsPositionLost);
+  EXPECT_NE(Read.error().m_Error.m_Detail.find("no answer in time"), std::string::npos);
+}
+
 } // namespace
 } // namespace vanillahill::wire::fakes
