Fleet client: of several configurations only the newest is applied

Change: the records of a read are applied from the newest valid configuration on; older ones are neither decoded nor announced. An invalid newest one falls back to the one before, as until now.

Test: FleetClientTest.SupersededConfigurationsAreNotDecoded, which decoded 2, 3 and 4 before and only 4 now.

--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -11,11 +11,10 @@
 #include "vanillahill/fleet/snapshot_request.hpp"
 #include "vanillahill/net/detail/datagrams.hpp"
 
+#include <optional>
 #include <random>
 #include <span>
 
-#include <span>
-
 namespace vanillahill::net {
 
 /// Result of a read of the store.
@@ -104,7 +103,9 @@
   bool applyRecords(fleet::Stream Which, const StoreRead &Read, std::vector<bool> &ShouldAnnounce,
                     TimePoint Now);
   void addUnlisted(StoreRead &Listing) const;
-  bool applyConfiguration(const std::string &Text);
+  bool applyNewestConfiguration(std::span<const fleet::Record> Records,
+                                std::vector<bool> &ShouldAnnounce);
+  std::optional<bool> applyConfiguration(const std::string &Text);
   bool applyServer(const fleet::Record &Entry, bool IsLogged, TimePoint Now);
   void announce(fleet::StoreNews Announcement, TimePoint AskedAt, TimePoint Now);
   void publishSettings();
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -229,23 +229,19 @@
 
 bool FleetClient::applyRecords(Stream Which, const StoreRead &Read,
                                std::vector<bool> &ShouldAnnounce, TimePoint Now) {
+  if (Which == Stream::Configuration) {
+    return applyNewestConfiguration(Read.m_Records, ShouldAnnounce);
+  }
   std::size_t ChangedCount = 0;
   const bool LogsEach = !Read.m_IsWhole;
   for (const fleet::Record &Entry : Read.m_Records) {
-    bool IsNew = false;
-    if (Which == Stream::Servers) {
-      // Other VMs may have carried out a removal that is held back here.
-      const bool WasHeldBack = m_Catalog.isRemovalHeld(Entry.m_Key);
-      IsNew = applyServer(Entry, LogsEach && ChangedCount < MaxServerLines, Now);
-      ShouldAnnounce.push_back(IsNew || !Entry.m_Value || WasHeldBack);
-    } else {
-      const bool IsConfiguration = Entry.m_Key == m_Store.m_ConfigurationKey && Entry.m_Value;
-      IsNew = IsConfiguration && applyConfiguration(*Entry.m_Value);
-      ShouldAnnounce.push_back(IsConfiguration);
-    }
+    // Other VMs may have carried out a removal that is held back here.
+    const bool WasHeldBack = m_Catalog.isRemovalHeld(Entry.m_Key);
+    const bool IsNew = applyServer(Entry, LogsEach && ChangedCount < MaxServerLines, Now);
+    ShouldAnnounce.push_back(IsNew || !Entry.m_Value || WasHeldBack);
     ChangedCount += IsNew ? 1 : 0;
   }
-  if (Which == Stream::Servers && (Read.m_IsWhole || ChangedCount > MaxServerLines)) {
+  if (Read.m_IsWhole || ChangedCount > MaxServerLines) {
     observe::log(LogLevel::Info, Read.m_IsWhole ? "servers_listed" : "servers_changed",
                  {{"position", std::to_string(Read.m_To)},
                   {"records", std::to_string(Read.m_Records.size())},
@@ -255,11 +251,31 @@
   return ChangedCount > 0;
 }
 
-bool FleetClient::applyConfiguration(const std::string &Text) {
+/// Applies the newest valid configuration among the records. The older ones are neither decoded nor
+/// announced: a VM that is behind would spend its processor and its link on them.
+/// \return whether the configuration in force changed
+bool FleetClient::applyNewestConfiguration(std::span<const fleet::Record> Records,
+                                           std::vector<bool> &ShouldAnnounce) {
+  ShouldAnnounce.assign(Records.size(), false);
+  for (std::size_t Index = Records.size(); Index > 0; --Index) {
+    const fleet::Record &Entry = Records[Index - 1];
+    if (Entry.m_Key != m_Store.m_ConfigurationKey || !Entry.m_Value) {
+      continue;
+    }
+    if (const auto Applied = applyConfiguration(*Entry.m_Value)) {
+      ShouldAnnounce[Index - 1] = true;
+      return *Applied;
+    }
+  }
+  return false;
+}
+
+/// \return whether the configuration is newer than the one in force; nothing for an invalid one
+std::optional<bool> FleetClient::applyConfiguration(const std::string &Text) {
   auto Decoded = m_Store.m_DecodeConfiguration(Text);
   if (!Decoded) {
     observe::logFault("configuration_refused", Decoded.error());
-    return false;
+    return std::nullopt;
   }
   const auto Version = Decoded->m_Version;
   if (!m_Catalog.apply(std::move(*Decoded))) {
@@ -545,8 +561,8 @@
 
 void FleetClient::adoptSnapshot(const std::string &Ip, const fleet::Snapshot &Received,
                                 TimePoint AskedAt, TimePoint Now) {
-  bool Changed =
-      !Received.m_ConfigurationText.empty() && applyConfiguration(Received.m_ConfigurationText);
+  bool Changed = !Received.m_ConfigurationText.empty() &&
+                 applyConfiguration(Received.m_ConfigurationText).value_or(false);
   m_Follower.adopt(Stream::Configuration, Received.m_ConfigurationPosition,
                    AskedAt - Received.m_ConfigurationAge);
   const auto KnownTo = m_Follower.knownTo(Stream::Servers);
--- a/tests/unit-fleet-client.cpp
+++ b/tests/unit-fleet-client.cpp
@@ -9,15 +9,21 @@
 using fleet::Stream;
 using std::chrono::milliseconds;
 
-/// The store of a test: a log of server records and one configuration, without a network.
+/// The store of a test: logs of server records and of configurations, without a network.
 struct Store {
   std::vector<Record> m_Servers;
+  /// The text of a configuration is its version.
+  std::vector<Record> m_Configurations = {{"config", "1"}};
   /// Offset of the oldest record that can still be read.
   std::size_t m_FirstKept = 0;
 
   StoreResult read(Stream Which, std::optional<std::uint64_t> From) {
     if (Which == Stream::Configuration) {
-      return StoreRead{.m_To = 1, .m_Records = {{"config", "1"}}, .m_IsWhole = !From};
+      const auto Begin = From.value_or(m_Configurations.size() - 1);
+      return StoreRead{.m_To = m_Configurations.size(),
+                       .m_Records = {m_Configurations.begin() + static_cast<std::ptrdiff_t>(Begin),
+                                     m_Configurations.end()},
+                       .m_IsWhole = !From};
     }
     if (From && *From < m_FirstKept) {
       return StoreFailure{.m_Error = {Errc::LogUnavailable, "read", "", "deleted"},
@@ -44,8 +50,16 @@
   }
 };
 
-Result<fleet::Configuration> decodeConfiguration(std::string_view /*Text*/) {
-  return fleet::Configuration{.m_Version = 1, .m_Services = {{.m_Name = "svc"}}};
+/// Texts of the configurations that were decoded by any VM, in order.
+std::vector<std::string> DecodedConfigurations;
+
+Result<fleet::Configuration> decodeConfiguration(std::string_view Text) {
+  DecodedConfigurations.emplace_back(Text);
+  if (Text == "invalid") {
+    return Error{Errc::RecordMalformed, "read configuration", "", "invalid"};
+  }
+  return fleet::Configuration{.m_Version = std::stoull(std::string(Text)),
+                              .m_Services = {{.m_Name = "svc"}}};
 }
 
 /// The text of a server's record is its sequence number.
@@ -146,6 +160,31 @@
   EXPECT_EQ(m_Fetches, 0);
 }
 
+/// A VM that is behind by several large configurations took each of them in turn. On a small VM
+/// that delayed the newest one beyond its bound.
+TEST_F(FleetClientTest, SupersededConfigurationsAreNotDecoded) {
+  Store Source{.m_Servers = {{"s1", "1"}}};
+  const auto Vm = start("127.0.0.1", ShortBound, {}, Source);
+  runUntil([&] { return Vm->isUsable(); });
+  DecodedConfigurations.clear();
+  for (const char *Text : {"2", "3", "4"}) {
+    Source.m_Configurations.push_back({"config", Text});
+  }
+  runUntil([&] { return Vm->version() == 4; });
+  EXPECT_EQ(DecodedConfigurations, std::vector<std::string>{"4"});
+}
+
+TEST_F(FleetClientTest, AnInvalidConfigurationDoesNotHideTheOneBefore) {
+  Store Source{.m_Servers = {{"s1", "1"}}};
+  const auto Vm = start("127.0.0.1", ShortBound, {}, Source);
+  runUntil([&] { return Vm->isUsable(); });
+  for (const char *Text : {"2", "3", "invalid"}) {
+    Source.m_Configurations.push_back({"config", Text});
+  }
+  runUntil([&] { return Vm->version() > 1; });
+  EXPECT_EQ(Vm->version(), 3U);
+}
+
 /// When the store has deleted the records that one VM would read next, that VM lists all servers
 /// and announces the difference. The others need no listing of their own.
 TEST_F(FleetClientTest, TheDifferenceFoundByAListingIsAnnounced) {
