Follower: of several missing configurations only the newest is read

Change: when announcements show that more than one record of the configuration's stream is missing, the next read is a listing, which holds the newest only. Test: Follower.OfSeveralMissingConfigurationsOnlyTheNewestIsRead; the position was 10 before.

--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -110,7 +110,8 @@
   TimePoint nextTimer() const;
 
   /// \brief Offset at which the next read of a stream begins; nothing when a listing with the
-  /// newest record of every key is to be read instead.
+  /// newest record of every key is to be read instead. Several configurations are listed: only the
+  /// newest is of use, and each may be large.
   std::optional<std::uint64_t> position(Stream Which) const;
 
   /// \brief Offset up to which the records of a stream are known; nothing before the first read.
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -35,7 +35,10 @@
 
 std::optional<std::uint64_t> Follower::position(Stream Which) const {
   const StreamState &State = state(Which);
-  return State.m_IsPositionLost ? std::nullopt : State.m_Position;
+  const bool AreSeveralMissing = State.m_Position && State.m_AnnouncedTo > *State.m_Position + 1;
+  const bool IsListed =
+      State.m_IsPositionLost || (Which == Stream::Configuration && AreSeveralMissing);
+  return IsListed ? std::nullopt : State.m_Position;
 }
 
 void Follower::spreadFirstReads(std::size_t LocalVms, TimePoint Now) {
--- a/tests/unit-follower.cpp
+++ b/tests/unit-follower.cpp
@@ -154,6 +154,18 @@
   EXPECT_GT(Times.size(), 50U);
 }
 
+/// A VM that is behind read each of several large configurations over its slow link.
+TEST(Follower, OfSeveralMissingConfigurationsOnlyTheNewestIsRead) {
+  Follower Reader = current();
+  Reader.readSoon(Stream::Configuration, 11, Start);
+  EXPECT_EQ(Reader.position(Stream::Configuration), 10U);
+  Reader.readSoon(Stream::Configuration, 12, Start);
+  EXPECT_FALSE(Reader.position(Stream::Configuration)) << "a listing";
+  EXPECT_EQ(Reader.knownTo(Stream::Configuration), 10U);
+  Reader.readSoon(Stream::Servers, 12, Start);
+  EXPECT_EQ(Reader.position(Stream::Servers), 10U) << "all records of servers count";
+}
+
 TEST(Follower, AfterALostPositionTheKnownOffsetIsKept) {
   Follower Reader = current();
   Reader.readFailed(Stream::Servers, true, Start);
