Metrics: the text grows with the requests, not with the configuration

Callers saw late answers from small VMs in the seconds of a scrape when the configuration had thousands of routes: each kind of request (a route and a service) had some 40 series, also without any request.

Kinds without a request and reasons that never occurred have no series now. Of the kinds with requests, the 100 most used have series, and vanillahill_kinds_left_out counts the others; the histograms follow the same choice. Names come from the kernel's status, so Metrics::nameKinds, which ran over all kinds at each change of the settings, is gone, and with it the kind "other". The kernel's status holds only kinds with requests. The answers of the key guard are counted under a name that is kept from the request's arrival, as their kind may have no counters in the dispatcher.

The status page lists only kinds with requests now, too.

--- a/include/vanillahill/kernel/dispatcher.hpp
+++ b/include/vanillahill/kernel/dispatcher.hpp
@@ -171,7 +171,7 @@
   }
 
   void appendStatus(TimePoint Now, NodeStatus &Status) const override {
-    Status.m_Kinds.insert(Status.m_Kinds.end(), m_Counters.begin(), m_Counters.end());
+    appendUsed(m_Counters, Status.m_Kinds);
     for (const ServerState &Server : m_Servers.all()) {
       Status.m_Servers.push_back({.m_Server = Server.m_Settings.m_Id,
                                   .m_Name = m_Settings.m_Name + "/" + Server.m_Settings.m_Name,
--- a/include/vanillahill/kernel/status.hpp
+++ b/include/vanillahill/kernel/status.hpp
@@ -4,8 +4,11 @@
 
 #include "vanillahill/kernel/events.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
+#include <iterator>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -32,6 +35,9 @@
   std::array<std::uint64_t, ReasonCount> m_Unknown{};
   std::array<std::uint64_t, RetryReasonCount> m_Retries{};
 
+  /// \brief Whether there was any request of this kind.
+  bool isUsed() const { return m_Arrived > 0; }
+
   /// \brief Adds other counters of the same kind.
   void add(const KindCounters &Other) {
     m_Arrived += Other.m_Arrived;
@@ -46,6 +52,12 @@
   }
 };
 
+/// \brief Appends the counters of the kinds that had requests.
+inline void appendUsed(std::span<const KindCounters> Counters, std::vector<KindCounters> &Out) {
+  std::copy_if(Counters.begin(), Counters.end(), std::back_inserter(Out),
+               [](const KindCounters &Kind) { return Kind.isUsed(); });
+}
+
 /// Status of one backend server.
 struct ServerStatus {
   ServerId m_Server{};
@@ -73,6 +85,7 @@
   peer::VmState m_State = peer::VmState::Starting;
   bool m_HasLease = false;
   std::vector<peer::FileVersion> m_Versions;
+  /// The kinds that had requests.
   std::vector<KindCounters> m_Kinds;
   std::vector<ServerStatus> m_Servers;
   std::vector<MemberStatus> m_Members;
--- a/include/vanillahill/observe/metrics.hpp
+++ b/include/vanillahill/observe/metrics.hpp
@@ -5,7 +5,6 @@
 #include "vanillahill/kernel/status.hpp"
 #include "vanillahill/net/fault.hpp"
 #include "vanillahill/peer/link.hpp"
-#include "vanillahill/settings/settings.hpp"
 
 #include <memory>
 #include <string>
@@ -31,6 +30,9 @@
 };
 inline constexpr std::size_t ReplyFaultCount = static_cast<std::size_t>(ReplyFault::Late) + 1;
 
+/// Maximum number of kinds of request that have series of their own.
+inline constexpr std::size_t MaxExportedKinds = 100;
+
 /// Values read at the time the metrics are requested.
 struct Gauges {
   std::size_t m_CallerConnections = 0;
@@ -46,9 +48,6 @@
   Metrics(const Metrics &) = delete;
   Metrics &operator=(const Metrics &) = delete;
 
-  /// \brief Sets the names of the kinds of request; those without a name are counted under "other".
-  void nameKinds(const SiteSettings &Settings);
-
   void countFault(net::CallerFault Fault);
   void countAttempt(kernel::AttemptResult Result);
   void countReplyFault(ReplyFault Fault);
@@ -65,8 +64,9 @@
   /// \brief Records the time from the arrival of a request to its answer.
   void observeLatency(KindId Kind, kernel::Outcome Outcome, Duration Latency);
 
-  /// \brief Returns all metrics in the Prometheus text format.
-  /// \param Status the kernel's counters
+  /// \brief Returns all metrics in the Prometheus text format. Kinds without requests have no
+  /// series, and of the others only the MaxExportedKinds with the most requests.
+  /// \param Status the kernel's counters, which also give the kinds their names
   /// \param Present values of the gauges at this moment
   std::string text(const kernel::NodeStatus &Status, const Gauges &Present) const;
 
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace vanillahill::kernel {
 
@@ -219,6 +220,9 @@
                            .m_Deadline = Now + Allowed,
                            .m_Guarded = IsGuarded};
     m_OpenRequests.emplace(Input.m_Request, Open);
+    if (IsGuarded) {
+      addKeyGuardCounters(Input.m_Service, *Kind);
+    }
     const auto Verdict = !IsGuarded
                              ? idempotency::Verdict::Run
                              : m_KeyGuard.arrived(Input.m_Request, Input.m_Key, Input.m_KeyAge,
@@ -402,9 +406,21 @@
     }
   }
 
+  /// Makes sure that a kind has counters for countKeyGuardAnswer().
+  void addKeyGuardCounters(ServiceId Service, const KindSettings &Kind) {
+    const auto [Added, IsNew] = m_KeyGuardCounters.try_emplace(Kind.m_Id);
+    if (!IsNew) {
+      return;
+    }
+    const auto Found = std::find_if(m_Settings->m_Services.begin(), m_Settings->m_Services.end(),
+                                    [Service](const auto &Each) { return Each.m_Id == Service; });
+    Added->second = {
+        .m_Service = Service, .m_Kind = Kind.m_Id, .m_Name = Found->m_Name + "/" + Kind.m_Name};
+  }
+
   /// Counts the answer to a request that ended while the key guard still held it.
   void countKeyGuardAnswer(const OpenRequest &Open, const Answer &Final) {
-    KindCounters &Counters = m_KeyGuardCounters[Open.m_Kind];
+    KindCounters &Counters = m_KeyGuardCounters.at(Open.m_Kind);
     ++Counters.m_Arrived;
     const auto Index = static_cast<std::size_t>(Final.m_Reason);
     switch (Final.m_Outcome) {
@@ -458,13 +474,24 @@
     for (const auto &[Id, Dispatcher] : m_Dispatchers) {
       Dispatcher->appendStatus(Now, Status);
     }
+    addKeyGuardAnswers(Status);
+    return Status;
+  }
+
+  void addKeyGuardAnswers(NodeStatus &Status) const {
+    std::unordered_set<KindId> Added;
     for (KindCounters &Counters : Status.m_Kinds) {
       const auto Found = m_KeyGuardCounters.find(Counters.m_Kind);
       if (Found != m_KeyGuardCounters.end()) {
         Counters.add(Found->second);
+        Added.insert(Counters.m_Kind);
+      }
+    }
+    for (const auto &[Id, Counters] : m_KeyGuardCounters) {
+      if (Counters.isUsed() && !Added.contains(Id)) {
+        Status.m_Kinds.push_back(Counters);
       }
     }
-    return Status;
   }
 
   NodeOptions m_Options;
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -759,7 +759,7 @@
 }
 
 void Dispatcher::appendStatus(TimePoint Now, NodeStatus &Status) const {
-  Status.m_Kinds.insert(Status.m_Kinds.end(), m_Counters.begin(), m_Counters.end());
+  appendUsed(m_Counters, Status.m_Kinds);
   for (const BackendView &Backend : m_Backends) {
     Status.m_Servers.push_back({.m_Server = Backend.m_Settings.m_Id,
                                 .m_Name = m_Settings.m_Name + "/" + Backend.m_Settings.m_Name,
--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -212,7 +212,6 @@
   if (!Settings) {
     return;
   }
-  m_Metrics.nameKinds(*Settings);
   m_Callers->applySettings(*Settings);
   m_Pool->applySettings(*Settings);
 }
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 using prometheus::Counter;
-using prometheus::Family;
 using prometheus::Histogram;
 using prometheus::Registry;
 
@@ -88,39 +87,46 @@
                                            "Connections opened for a measuring request");
   Counter &m_WrongTokens = addCounter(m_Registry, "vanillahill_wrong_tokens_total",
                                       "Admin requests with a wrong or missing token");
-  Family<Histogram> &m_Latency = prometheus::BuildHistogram()
-                                     .Name("vanillahill_request_seconds")
-                                     .Help("Time from a request's arrival to its answer")
-                                     .Register(m_Registry);
   mutable std::mutex m_Mutex;
-  std::unordered_map<KindId, std::string> m_KindNames;
-  std::unordered_map<KindId, std::array<Histogram *, OutcomeNames.size()>> m_Histograms;
+  /// By outcome. Not in the registry, which would write those of all kinds.
+  std::unordered_map<KindId, std::array<std::unique_ptr<Histogram>, OutcomeNames.size()>>
+      m_Histograms;
 
   Histogram &findOrAddHistogram(KindId Kind, kernel::Outcome Outcome) {
     const std::lock_guard Lock(m_Mutex);
     auto &Slot = m_Histograms[Kind][static_cast<std::size_t>(Outcome)];
-    if (Slot == nullptr) {
-      const auto Name = m_KindNames.find(Kind);
-      Slot = &m_Latency.Add({{"kind", Name == m_KindNames.end() ? "other" : Name->second},
-                             {"outcome", OutcomeNames[static_cast<std::size_t>(Outcome)]}},
-                            LatencyBounds);
+    if (!Slot) {
+      Slot = std::make_unique<Histogram>(LatencyBounds);
     }
     return *Slot;
   }
+
+  void appendLatencies(KindSpan Kinds, Families &Out) const {
+    prometheus::MetricFamily Family{.name = "vanillahill_request_seconds",
+                                    .help = "Time from a request's arrival to its answer",
+                                    .type = prometheus::MetricType::Histogram};
+    const std::lock_guard Lock(m_Mutex);
+    for (const auto *Kind : Kinds) {
+      const auto Found = m_Histograms.find(Kind->m_Kind);
+      if (Found == m_Histograms.end()) {
+        continue;
+      }
+      for (std::size_t Outcome = 0; Outcome < OutcomeNames.size(); ++Outcome) {
+        if (const auto &Latency = Found->second[Outcome]) {
+          auto &Added = Family.metric.emplace_back(Latency->Collect());
+          Added.label = {{"kind", Kind->m_Name}, {"outcome", OutcomeNames[Outcome]}};
+        }
+      }
+    }
+    if (!Family.metric.empty()) {
+      Out.push_back(std::move(Family));
+    }
+  }
 };
 
 Metrics::Metrics() : m_State(std::make_unique<State>()) {}
 Metrics::~Metrics() = default;
 
-void Metrics::nameKinds(const SiteSettings &Settings) {
-  const std::lock_guard Lock(m_State->m_Mutex);
-  for (const auto &Service : Settings.m_Services) {
-    for (const auto &Kind : Service.m_Kinds) {
-      m_State->m_KindNames[Kind.m_Id] = Service.m_Name + "/" + Kind.m_Name;
-    }
-  }
-}
-
 void Metrics::countFault(net::CallerFault Fault) { m_State->m_Faults.increment(Fault); }
 void Metrics::countAttempt(kernel::AttemptResult Result) { m_State->m_Attempts.increment(Result); }
 void Metrics::countReplyFault(ReplyFault Fault) { m_State->m_ReplyFaults.increment(Fault); }
@@ -138,7 +144,9 @@
 
 std::string Metrics::text(const kernel::NodeStatus &Status, const Gauges &Present) const {
   auto All = m_State->m_Registry.Collect();
-  appendStatusMetrics(Status, All);
+  const auto Kinds = mostUsedKinds(Status);
+  m_State->appendLatencies(Kinds, All);
+  appendStatusMetrics(Status, Kinds, All);
   appendProcessMetrics(Present, All);
   std::ostringstream Out;
   prometheus::TextSerializer().Serialize(Out, All);
--- a/src/observe/status_metrics.cpp
+++ b/src/observe/status_metrics.cpp
@@ -3,7 +3,9 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <fstream>
+#include <tuple>
 
 namespace vanillahill::observe {
 
@@ -49,46 +51,45 @@
   Family.appendTo(Out);
 }
 
-void appendKindCounts(const kernel::NodeStatus &Status, Families &Out) {
+void appendKindCounts(KindSpan Kinds, Families &Out) {
   FamilyBuilder Arrived("vanillahill_requests_total", "Requests that arrived whole",
                         MetricType::Counter);
   FamilyBuilder Completed("vanillahill_completed_total", "Requests answered by a backend server",
                           MetricType::Counter);
-  for (const auto &Kind : Status.m_Kinds) {
-    Arrived.add({{"kind", Kind.m_Name}}, static_cast<double>(Kind.m_Arrived));
-    Completed.add({{"kind", Kind.m_Name}}, static_cast<double>(Kind.m_Completed));
+  for (const auto *Kind : Kinds) {
+    Arrived.add({{"kind", Kind->m_Name}}, static_cast<double>(Kind->m_Arrived));
+    Completed.add({{"kind", Kind->m_Name}}, static_cast<double>(Kind->m_Completed));
   }
   Arrived.appendTo(Out);
   Completed.appendTo(Out);
 }
 
-void appendFailureReasons(const kernel::NodeStatus &Status, Families &Out) {
-  FamilyBuilder NotRun("vanillahill_refused_total", "Requests refused and not run",
-                       MetricType::Counter);
-  FamilyBuilder Unknown("vanillahill_unknown_total", "Requests whose outcome is not known",
-                        MetricType::Counter);
-  for (const auto &Kind : Status.m_Kinds) {
-    for (std::size_t Index = 1; Index < kernel::ReasonCount; ++Index) {
-      const std::string ReasonName(toString(static_cast<kernel::Reason>(Index)));
-      const Labels LabelSet{{"kind", Kind.m_Name}, {"reason", ReasonName}};
-      NotRun.add(LabelSet, static_cast<double>(Kind.m_NotRun[Index]));
-      Unknown.add(LabelSet, static_cast<double>(Kind.m_Unknown[Index]));
+/// Adds the counters of one kind that are not zero, by reason.
+template <typename Enum, std::size_t Count>
+void addReasons(const std::string &KindName, const std::array<std::uint64_t, Count> &Counters,
+                FamilyBuilder &Family) {
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    if (Counters[Index] > 0) {
+      Family.add({{"kind", KindName}, {"reason", std::string(toString(static_cast<Enum>(Index)))}},
+                 static_cast<double>(Counters[Index]));
     }
   }
-  NotRun.appendTo(Out);
-  Unknown.appendTo(Out);
 }
 
-void appendRetries(const kernel::NodeStatus &Status, Families &Out) {
+void appendReasons(KindSpan Kinds, Families &Out) {
+  FamilyBuilder NotRun("vanillahill_refused_total", "Requests refused and not run",
+                       MetricType::Counter);
+  FamilyBuilder Unknown("vanillahill_unknown_total", "Requests whose outcome is not known",
+                        MetricType::Counter);
   FamilyBuilder Retries("vanillahill_retries_total", "Attempts that followed another one",
                         MetricType::Counter);
-  for (const auto &Kind : Status.m_Kinds) {
-    for (std::size_t Index = 0; Index < kernel::RetryReasonCount; ++Index) {
-      const std::string ReasonName(toString(static_cast<kernel::RetryReason>(Index)));
-      Retries.add({{"kind", Kind.m_Name}, {"reason", ReasonName}},
-                  static_cast<double>(Kind.m_Retries[Index]));
-    }
+  for (const auto *Kind : Kinds) {
+    addReasons<kernel::Reason>(Kind->m_Name, Kind->m_NotRun, NotRun);
+    addReasons<kernel::Reason>(Kind->m_Name, Kind->m_Unknown, Unknown);
+    addReasons<kernel::RetryReason>(Kind->m_Name, Kind->m_Retries, Retries);
   }
+  NotRun.appendTo(Out);
+  Unknown.appendTo(Out);
   Retries.appendTo(Out);
 }
 
@@ -166,10 +167,31 @@
 
 } // namespace
 
-void appendStatusMetrics(const kernel::NodeStatus &Status, Families &Out) {
-  appendKindCounts(Status, Out);
-  appendFailureReasons(Status, Out);
-  appendRetries(Status, Out);
+std::vector<const kernel::KindCounters *> mostUsedKinds(const kernel::NodeStatus &Status) {
+  std::vector<const kernel::KindCounters *> Kinds;
+  for (const auto &Kind : Status.m_Kinds) {
+    if (Kind.isUsed()) {
+      Kinds.push_back(&Kind);
+    }
+  }
+  if (Kinds.size() > MaxExportedKinds) {
+    const auto End = Kinds.begin() + MaxExportedKinds;
+    std::nth_element(Kinds.begin(), End, Kinds.end(), [](const auto *Left, const auto *Right) {
+      return std::tie(Right->m_Arrived, Left->m_Name) < std::tie(Left->m_Arrived, Right->m_Name);
+    });
+    Kinds.erase(End, Kinds.end());
+  }
+  return Kinds;
+}
+
+void appendStatusMetrics(const kernel::NodeStatus &Status, KindSpan Kinds, Families &Out) {
+  appendKindCounts(Kinds, Out);
+  appendReasons(Kinds, Out);
+  const auto UsedKinds = std::count_if(Status.m_Kinds.begin(), Status.m_Kinds.end(),
+                                       [](const auto &Kind) { return Kind.isUsed(); });
+  appendSingle("vanillahill_kinds_left_out", "Kinds with requests, but without series of their own",
+               MetricType::Gauge,
+               static_cast<double>(UsedKinds) - static_cast<double>(Kinds.size()), Out);
   appendServers(Status, Out);
   appendMembers(Status, Out);
   appendSingle("vanillahill_lease_held", "1 while this VM holds a membership lease",
