Kernel: kinds are found in constant time and left alone while they do not change

With thousands of routes, each change of one server's record kept a small VM busy: the dispatchers searched their list of kinds linearly for each configured kind, so a change was quadratic in the routes, and each arrival searched the kinds twice, in the node and in the dispatcher.

KindTable holds the kinds and counters of a service for both dispatchers, with an index by KindId. The node asks the dispatcher for the settings of a kind. SharedList is a list whose copies share their elements; ServiceSettings::m_Kinds is one, so a dispatcher recognises the list in force and does nothing, and copies of the settings no longer copy the kinds.

Kinds of removed routes are still kept, as requests, attempts and counters refer to them by index.

--- a/include/vanillahill/kernel/dispatcher.hpp
+++ b/include/vanillahill/kernel/dispatcher.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "vanillahill/kernel/dispatcher_base.hpp"
+#include "vanillahill/kernel/kind_table.hpp"
 #include "vanillahill/kernel/policy/choice.hpp"
 #include "vanillahill/kernel/policy/health.hpp"
 #include "vanillahill/kernel/policy/queue.hpp"
@@ -49,12 +50,12 @@
 
   void arrive(RequestId Request, KindId Kind, TimePoint Deadline, TimePoint Now,
               Actions &Out) override {
-    const std::optional<KindIndex> Index = findKind(Kind);
+    const std::optional<KindIndex> Index = m_Kinds.find(Kind);
     if (!Index) {
       Out.push_back(kernel::Answer{.m_Request = Request, .m_Reason = Reason::UnknownKind});
       return;
     }
-    ++m_Counters[*Index].m_Arrived;
+    ++m_Kinds.counters(*Index).m_Arrived;
     m_Requests.add({.m_Id = Request, .m_Kind = *Index, .m_Arrived = Now, .m_Deadline = Deadline});
     m_Timers.push({.m_At = Deadline, .m_Type = TimerType::Deadline, .m_Request = Request});
     enqueue(Request, Now, Out);
@@ -140,7 +141,7 @@
       Next = std::min(Next, m_Timers.top().m_At);
     }
     if (m_Queue.size() > 0) {
-      Next = std::min({Next, m_Queue.nextDrop(m_Kinds), m_LastServe + QueuePollInterval});
+      Next = std::min({Next, m_Queue.nextDrop(m_Kinds.all()), m_LastServe + QueuePollInterval});
     }
     for (const ServerState &Server : m_Servers.all()) {
       if (Server.m_Health == Health::Ejected) {
@@ -159,6 +160,8 @@
             .m_Queued = static_cast<std::uint32_t>(m_Queue.size())};
   }
 
+  const KindSettings *findKind(KindId Kind) const override { return m_Kinds.findSettings(Kind); }
+
   void appendMarks(TimePoint Now, std::vector<ServerId> &Avoid,
                    std::vector<ServerId> &Leaving) const override {
     for (const ServerState &Server : m_Servers.all()) {
@@ -171,7 +174,7 @@
   }
 
   void appendStatus(TimePoint Now, NodeStatus &Status) const override {
-    appendUsed(m_Counters, Status.m_Kinds);
+    appendUsed(m_Kinds.allCounters(), Status.m_Kinds);
     for (const ServerState &Server : m_Servers.all()) {
       Status.m_Servers.push_back({.m_Server = Server.m_Settings.m_Id,
                                   .m_Name = m_Settings.m_Name + "/" + Server.m_Settings.m_Name,
@@ -196,26 +199,13 @@
   void applySettings(const ServiceSettings &Settings, TimePoint Now, TimePoint ColdUntil) {
     m_Settings = Settings;
     m_Servers.assign(Settings.m_Servers, ColdUntil);
-    for (const KindSettings &Kind : Settings.m_Kinds) {
-      configureKind(Kind);
-    }
+    m_Kinds.assign(Settings, [](const KindState &) {});
     m_Queue.resizeKinds(m_Kinds.size());
     m_Retry.configure(Settings.m_Policy);
     m_Slots.assign(m_Settings.m_Id, m_Servers, m_Context.m_Self, m_Alive);
     configureProbes(Now);
   }
 
-  void configureKind(const KindSettings &Settings) {
-    if (const std::optional<KindIndex> Known = findKind(Settings.m_Id)) {
-      m_Kinds[*Known].m_Settings = Settings;
-      return;
-    }
-    m_Kinds.push_back({.m_Settings = Settings});
-    m_Counters.push_back({.m_Service = m_Settings.m_Id,
-                          .m_Kind = Settings.m_Id,
-                          .m_Name = m_Settings.m_Name + "/" + Settings.m_Name});
-  }
-
   /// Divides the measuring budget by the largest possible number of VMs and rounds down to whole
   /// probes per second. The sum over all VMs thus stays within the budget even when they disagree
   /// about which VMs are alive.
@@ -231,15 +221,6 @@
     }
   }
 
-  std::optional<KindIndex> findKind(KindId Kind) const {
-    for (KindIndex Index = 0; Index < m_Kinds.size(); ++Index) {
-      if (m_Kinds[Index].m_Settings.m_Id == Kind) {
-        return Index;
-      }
-    }
-    return std::nullopt;
-  }
-
   Demand demand(TimePoint Now) const { return {.m_Queued = m_Queue.size(), .m_Now = Now}; }
 
   void enqueue(RequestId Request, TimePoint Now, Actions &Out) {
@@ -249,13 +230,13 @@
                               .m_Kind = State.m_Kind,
                               .m_WaitingSince = Now,
                               .m_Deadline = State.m_Deadline};
-    m_Queue.push(Item, m_Kinds, m_Settings.m_Policy.m_QueueLimit, m_Drops);
+    m_Queue.push(Item, m_Kinds.all(), m_Settings.m_Policy.m_QueueLimit, m_Drops);
     answerDropped(Out);
   }
 
   void serveQueue(TimePoint Now, Actions &Out) {
     m_LastServe = Now;
-    m_Queue.serve(m_Kinds, Now, m_Drops,
+    m_Queue.serve(m_Kinds.all(), Now, m_Drops,
                   [&](const WaitingRequest &Item) { return tryStart(Item, Now, Out); });
     answerDropped(Out);
     if (m_Queue.size() > 0) {
@@ -487,7 +468,7 @@
   }
 
   void retryRequest(RequestState &State, RetryReason Cause, TimePoint Now, Actions &Out) {
-    ++m_Counters[State.m_Kind].m_Retries[static_cast<std::size_t>(Cause)];
+    ++m_Kinds.counters(State.m_Kind).m_Retries[static_cast<std::size_t>(Cause)];
     enqueue(State.m_Id, Now, Out);
   }
 
@@ -514,14 +495,14 @@
   }
 
   void answerWithReply(RequestState &State, const ReplyPtr &FullReply, Actions &Out) {
-    ++m_Counters[State.m_Kind].m_Completed;
+    ++m_Kinds.counters(State.m_Kind).m_Completed;
     Out.push_back(kernel::Answer{
         .m_Request = State.m_Id, .m_Outcome = Outcome::Completed, .m_Reply = FullReply});
     finishRequest(State, Out);
   }
 
   void answerWithoutReply(RequestState &State, Outcome RequestOutcome, Reason Cause, Actions &Out) {
-    KindCounters &Counters = m_Counters[State.m_Kind];
+    KindCounters &Counters = m_Kinds.counters(State.m_Kind);
     auto &ByReason = RequestOutcome == Outcome::NotRun ? Counters.m_NotRun : Counters.m_Unknown;
     ++ByReason[static_cast<std::size_t>(Cause)];
     Out.push_back(kernel::Answer{.m_Request = State.m_Id,
@@ -604,7 +585,7 @@
       releaseSlot(*Chosen, Now);
       return;
     }
-    ++m_Counters[State.m_Kind].m_Retries[static_cast<std::size_t>(RetryReason::Hedge)];
+    ++m_Kinds.counters(State.m_Kind).m_Retries[static_cast<std::size_t>(RetryReason::Hedge)];
     startAttempt(State, *Chosen, Now, Out);
   }
 
@@ -639,8 +620,7 @@
   ServiceSettings m_Settings;
   std::vector<VmId> m_Alive;
   ServerTable m_Servers;
-  std::vector<KindState> m_Kinds;
-  std::vector<KindCounters> m_Counters;
+  KindTable<KindState> m_Kinds;
   RequestTable m_Requests;
   TimerQueue m_Timers;
   typename P::Choice m_Choice;
--- a/include/vanillahill/kernel/dispatcher_base.hpp
+++ b/include/vanillahill/kernel/dispatcher_base.hpp
@@ -74,6 +74,9 @@
   virtual TimePoint nextTimer(TimePoint Now) const = 0;
   /// \brief The hint about this service for the heartbeats to peers.
   virtual peer::ServiceHint hint() const = 0;
+  /// \brief The settings of a configured kind; null for another one.
+  /// \note Complexity: constant.
+  virtual const KindSettings *findKind(KindId Kind) const = 0;
   /// \brief Appends the servers that peers should avoid and those that are leaving.
   virtual void appendMarks(TimePoint Now, std::vector<ServerId> &Avoid,
                            std::vector<ServerId> &Leaving) const = 0;
--- a/include/vanillahill/kernel/policy/queue.hpp
+++ b/include/vanillahill/kernel/policy/queue.hpp
@@ -3,6 +3,7 @@
 /// overload.
 #pragma once
 
+#include "vanillahill/kernel/kind_table.hpp"
 #include "vanillahill/kernel/server_table.hpp"
 
 #include <concepts>
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "vanillahill/kernel/dispatcher_base.hpp"
+#include "vanillahill/kernel/kind_table.hpp"
 #include "vanillahill/kernel/probed/placement.hpp"
 #include "vanillahill/kernel/probed/probe_budget.hpp"
 #include "vanillahill/kernel/probed/request.hpp"
@@ -33,6 +34,7 @@
 
   TimePoint nextTimer(TimePoint Now) const override;
   peer::ServiceHint hint() const override { return {.m_Service = m_Settings.m_Id}; }
+  const KindSettings *findKind(KindId Kind) const override { return m_Kinds.findSettings(Kind); }
   void appendMarks(TimePoint Now, std::vector<ServerId> &Avoid,
                    std::vector<ServerId> &Leaving) const override;
   void appendStatus(TimePoint Now, NodeStatus &Status) const override;
@@ -41,7 +43,6 @@
 private:
   void assignBackends();
   void assignKinds();
-  std::optional<std::uint32_t> findKind(KindId Kind) const;
   BackendView *findBackend(ServerId Server);
   SearchCriteria criteriaOf(const Request &Pending) const;
 
@@ -94,8 +95,7 @@
   DispatcherContext &m_Context;
   ServiceSettings m_Settings;
   std::vector<BackendView> m_Backends;
-  std::vector<Kind> m_Kinds;
-  std::vector<KindCounters> m_Counters;
+  KindTable<Kind> m_Kinds;
   std::unordered_map<RequestId, Request> m_Requests;
   std::unordered_map<AttemptId, Attempt> m_Attempts;
   /// Requests with a search in progress.
--- a/include/vanillahill/kernel/request_table.hpp
+++ b/include/vanillahill/kernel/request_table.hpp
@@ -2,6 +2,7 @@
 /// The unanswered requests of one service, their attempts, and the timers of both.
 #pragma once
 
+#include "vanillahill/kernel/kind_table.hpp"
 #include "vanillahill/kernel/policy/slots.hpp"
 #include "vanillahill/kernel/server_table.hpp"
 
--- a/include/vanillahill/kernel/server_table.hpp
+++ b/include/vanillahill/kernel/server_table.hpp
@@ -17,8 +17,6 @@
 
 /// Position of a backend server in its ServerTable.
 using ServerIndex = std::uint32_t;
-/// Position of a kind in its dispatcher's list of kinds.
-using KindIndex = std::uint32_t;
 
 /// Health of a backend server as this VM sees it.
 enum class Health : std::uint8_t {
--- a/include/vanillahill/settings/settings.hpp
+++ b/include/vanillahill/settings/settings.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "vanillahill/core/ids.hpp"
+#include "vanillahill/core/shared_list.hpp"
 #include "vanillahill/core/time.hpp"
 
 #include <cstdint>
@@ -69,7 +70,7 @@
 struct ServiceSettings {
   ServiceId m_Id{};
   std::string m_Name;
-  std::vector<KindSettings> m_Kinds;
+  SharedList<KindSettings> m_Kinds;
   std::vector<ServerSettings> m_Servers;
   PolicySettings m_Policy;
   /// Target of a health request.
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -190,19 +190,9 @@
     return Found == m_Dispatchers.end() ? nullptr : Found->second.get();
   }
 
-  const KindSettings *findKind(ServiceId Id, KindId Kind) const {
-    if (!m_Settings) {
-      return nullptr;
-    }
-    for (const ServiceSettings &Service : m_Settings->m_Services) {
-      if (Service.m_Id != Id) {
-        continue;
-      }
-      const auto Found = std::find_if(Service.m_Kinds.begin(), Service.m_Kinds.end(),
-                                      [Kind](const auto &Each) { return Each.m_Id == Kind; });
-      return Found == Service.m_Kinds.end() ? nullptr : &*Found;
-    }
-    return nullptr;
+  const KindSettings *findKind(ServiceId Service, KindId Kind) {
+    const DispatcherBase *Found = findDispatcher(Service);
+    return Found == nullptr ? nullptr : Found->findKind(Kind);
   }
 
   void onEvent(const RequestArrived &Input, TimePoint Now, Actions &Out) {
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -71,32 +71,15 @@
 }
 
 void Dispatcher::assignKinds() {
-  for (const KindSettings &Settings : m_Settings.m_Kinds) {
+  m_Kinds.assign(m_Settings, [](Kind &Added) {
     // Assumed until the first reply: operators set targets to a small multiple of the usual time of
     // a request.
     constexpr double WorkShareOfTarget = 0.4;
-    if (const auto Known = findKind(Settings.m_Id)) {
-      m_Kinds[*Known].m_Settings = Settings;
-      continue;
-    }
-    m_Kinds.push_back({.m_Settings = Settings});
-    if (Settings.m_TargetLatency > Duration::zero()) {
-      m_Kinds.back().m_Work.setAssumedSeconds(toSeconds(Settings.m_TargetLatency) *
-                                              WorkShareOfTarget);
+    const Duration Target = Added.m_Settings.m_TargetLatency;
+    if (Target > Duration::zero()) {
+      Added.m_Work.setAssumedSeconds(toSeconds(Target) * WorkShareOfTarget);
     }
-    m_Counters.push_back({.m_Service = m_Settings.m_Id,
-                          .m_Kind = Settings.m_Id,
-                          .m_Name = m_Settings.m_Name + "/" + Settings.m_Name});
-  }
-}
-
-std::optional<std::uint32_t> Dispatcher::findKind(KindId Kind) const {
-  for (std::uint32_t Index = 0; Index < m_Kinds.size(); ++Index) {
-    if (m_Kinds[Index].m_Settings.m_Id == Kind) {
-      return Index;
-    }
-  }
-  return std::nullopt;
+  });
 }
 
 BackendView *Dispatcher::findBackend(ServerId Server) {
@@ -116,12 +99,12 @@
 
 void Dispatcher::arrive(RequestId Id, KindId Kind, TimePoint Deadline, TimePoint Now,
                         Actions &Out) {
-  const auto Index = findKind(Kind);
+  const auto Index = m_Kinds.find(Kind);
   if (!Index) {
     Out.push_back(kernel::Answer{.m_Request = Id, .m_Reason = Reason::UnknownKind});
     return;
   }
-  ++m_Counters[*Index].m_Arrived;
+  ++m_Kinds.counters(*Index).m_Arrived;
   Request &Added =
       m_Requests
           .emplace(Id,
@@ -389,7 +372,7 @@
       !m_RetryBudget.tryTakeToken()) {
     return;
   }
-  ++m_Counters[Pending.m_Kind].m_Retries[static_cast<std::size_t>(RetryReason::Hedge)];
+  ++m_Kinds.counters(Pending.m_Kind).m_Retries[static_cast<std::size_t>(RetryReason::Hedge)];
   sendAttempt(Pending, Best->m_Backend, Now, Out);
 }
 
@@ -581,7 +564,7 @@
       (IsCharged && !m_RetryBudget.tryTakeToken())) {
     return false;
   }
-  ++m_Counters[Pending.m_Kind].m_Retries[static_cast<std::size_t>(Why)];
+  ++m_Kinds.counters(Pending.m_Kind).m_Retries[static_cast<std::size_t>(Why)];
   startSearch(Pending, SearchPurpose::Retry, Now, Out);
   return true;
 }
@@ -698,7 +681,7 @@
   Decision Entry = makeDecision(DecisionType::Answered, Pending, Now);
   Entry.m_Status = FinalReply->m_Status;
   Out.push_back(std::move(Entry));
-  ++m_Counters[Pending.m_Kind].m_Completed;
+  ++m_Kinds.counters(Pending.m_Kind).m_Completed;
   Out.push_back(kernel::Answer{
       .m_Request = Pending.m_Id, .m_Outcome = Outcome::Completed, .m_Reply = FinalReply});
   finishRequest(Pending, Out);
@@ -730,7 +713,7 @@
 
 void Dispatcher::answerRefusal(Request &Pending, Reason Why, Duration RetryAfter, Actions &Out) {
   const bool MayHaveRun = Pending.m_MayHaveRun || !Pending.m_Running.empty();
-  KindCounters &Counters = m_Counters[Pending.m_Kind];
+  KindCounters &Counters = m_Kinds.counters(Pending.m_Kind);
   ++(MayHaveRun ? Counters.m_Unknown : Counters.m_NotRun)[static_cast<std::size_t>(Why)];
   Out.push_back(kernel::Answer{.m_Request = Pending.m_Id,
                                .m_Outcome = MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
@@ -759,7 +742,7 @@
 }
 
 void Dispatcher::appendStatus(TimePoint Now, NodeStatus &Status) const {
-  appendUsed(m_Counters, Status.m_Kinds);
+  appendUsed(m_Kinds.allCounters(), Status.m_Kinds);
   for (const BackendView &Backend : m_Backends) {
     Status.m_Servers.push_back({.m_Server = Backend.m_Settings.m_Id,
                                 .m_Name = m_Settings.m_Name + "/" + Backend.m_Settings.m_Name,
