Log: the last lines are written at the end of a process

Cause: the sink keeps lines for up to 200 ms or 4 KiB and nothing writes them when the process ends.

drainLog() writes what is pending, waits for a slow reader no longer than it is told, and gives up at once when the reader is gone. Lines that were dropped are counted at the end too.

--- a/include/vanillahill/observe/log.hpp
+++ b/include/vanillahill/observe/log.hpp
@@ -43,6 +43,11 @@
 /// \brief Writes out the buffered lines. \note Thread safe.
 void flushLog();
 
+/// \brief Writes out the buffered lines at the end of the process, waiting for a slow reader.
+/// \param Limit how long to wait at most
+/// \return whether all lines were written. \note Thread safe.
+bool drainLog(Duration Limit);
+
 /// \brief Writes a fault with its number, step and peer; repeats of one event and peer are limited.
 /// \note Thread safe.
 void logFault(std::string_view Event, const Error &Fault);
--- a/src/observe/line_sink.cpp
+++ b/src/observe/line_sink.cpp
@@ -1,9 +1,12 @@
 #include "line_sink.hpp"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <cerrno>
+
 namespace vanillahill::observe {
 
 LineSink::LineSink() {
@@ -19,11 +22,7 @@
     ++m_LinesDropped;
     return;
   }
-  if (m_LinesDropped > 0) {
-    m_Pending +=
-        "{\"event\":\"lines_lost\",\"count\":\"" + std::to_string(m_LinesDropped) + "\"}\n";
-    m_LinesDropped = 0;
-  }
+  appendDropCount();
   m_Pending += Line;
   m_Pending += '\n';
   const bool IsDue = std::chrono::steady_clock::now() - m_LastFlush >= FlushInterval;
@@ -44,4 +43,36 @@
   }
 }
 
+void LineSink::appendDropCount() {
+  if (m_LinesDropped > 0) {
+    m_Pending +=
+        "{\"event\":\"lines_lost\",\"count\":\"" + std::to_string(m_LinesDropped) + "\"}\n";
+    m_LinesDropped = 0;
+  }
+}
+
+bool LineSink::drain(std::chrono::nanoseconds Limit) {
+  using Clock = std::chrono::steady_clock;
+  const std::lock_guard Lock(mutex_);
+  const auto Until = Clock::now() + Limit;
+  appendDropCount();
+  while (true) {
+    errno = 0;
+    flush_();
+    if (m_Pending.empty()) {
+      return true;
+    }
+    if (errno != EAGAIN && errno != EINTR) {
+      // The reader is gone.
+      return false;
+    }
+    const auto Left = std::chrono::ceil<std::chrono::milliseconds>(Until - Clock::now());
+    if (Left.count() <= 0) {
+      return false;
+    }
+    pollfd Output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    ::poll(&Output, 1, static_cast<int>(Left.count()));
+  }
+}
+
 } // namespace vanillahill::observe
--- a/src/observe/line_sink.hpp
+++ b/src/observe/line_sink.hpp
@@ -16,11 +16,18 @@
 public:
   LineSink();
 
+  /// \brief Writes the pending lines, waiting for a slow reader if need be.
+  /// \param Limit how long to wait at most; only writes to a pipe are bounded by it
+  /// \return whether all lines were written. \note Thread safe.
+  bool drain(std::chrono::nanoseconds Limit);
+
 protected:
   void sink_it_(const spdlog::details::log_msg &Message) override;
   void flush_() override;
 
 private:
+  void appendDropCount();
+
   /// Maximum size of the buffer of pending lines.
   static constexpr std::size_t MaxPendingBytes = 256UL * 1024;
   /// Pending lines are written once they reach this size, or after this time.
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -93,6 +93,18 @@
 
 void flushLog() { logger().flush(); }
 
+bool drainLog(Duration Limit) {
+  bool AllWritten = true;
+  for (const auto &Sink : logger().sinks()) {
+    if (auto *Lines = dynamic_cast<LineSink *>(Sink.get())) {
+      AllWritten = Lines->drain(Limit) && AllWritten;
+    } else {
+      Sink->flush();
+    }
+  }
+  return AllWritten;
+}
+
 void log(LogLevel Level, std::string_view Event, std::span<const LogField> Fields) {
   if (!logger().should_log(LevelNames[static_cast<std::size_t>(Level)].m_Level)) {
     return;
