A stop ends within grace and says so

Seen on: 5 and 2 processes were still there at the end of grace and were killed.

Cause, confirmed by the tests: the bound for closing was looked at only once the kernel had said that it is idle. An open request may last as long as its route's timeout, so that moment need not come before SIGKILL.

Changed: - net::StopPlan (no I/O) divides grace into named shares: accept 45 %, end open requests 84 %, close what is left 93 %, stop waiting for the log 96 %. Requests are kept until the last sixth of grace has begun. platform/front.cpp carries it out; the plan is fixed by the first SIGTERM. - kernel::StopOverdue ends the open requests. Attempts are cancelled first and the answer follows their end: 503 when nothing was sent, 502 when the request may have run, the reply when it was complete. The table of open requests has moved out of node.cpp into OpenRequests. - Connections that are still open are closed before the objects are released, and the release is bounded. - "stopped" says how long it took, the requests that were ended or cut, and the connections closed.

The project's own entry has no grace: its requests end at their deadlines and its connections 3 s after the last one (read in the code, not run), so it has no such fault and is unchanged.

Tests changed: the fixture of unit-platform-front has moved to front_harness.hpp for both programs. StopAnswersRequestsInFlight... and StopClosesIdleConnections... now run with a grace of 3 s in place of 0.4 s: open requests are ended at 84 % of grace, and 0.4 s left a busy machine 0.16 s after the linger time. What they expect is unchanged.

Not run: sanitizers, and a machine with a tenth of a core.

--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -181,12 +181,17 @@
 /// The process was told to stop.
 struct StopRequested {};
 
+/// The time for finishing requests after StopRequested is over. Each request that is still open is
+/// ended: its attempts are cancelled, and it is answered as Unknown if it may have run, else as
+/// NotRun. Requests that arrive later are refused.
+struct StopOverdue {};
+
 /// The timer set for Node::nextTimer() expired.
 struct TimerFired {};
 
 using Event =
     std::variant<RequestArrived, CallerGone, AttemptEnded, ProbeEnded, PeerReceived, VmListRead,
-                 LogRead, SettingsRead, ServerFailureHeard, StopRequested, TimerFired>;
+                 LogRead, SettingsRead, ServerFailureHeard, StopRequested, StopOverdue, TimerFired>;
 
 /// Send the request to a backend server.
 struct Dispatch {
--- a/include/vanillahill/net/detail/caller_connection.hpp
+++ b/include/vanillahill/net/detail/caller_connection.hpp
@@ -44,6 +44,9 @@
   /// \brief Closes the connection if it is between two requests. \note Thread safe.
   void closeIfIdle();
 
+  /// \brief Closes the connection, whatever its phase. \note Thread safe.
+  void closeNow();
+
 private:
   using Response = http::response<http::span_body<const char>>;
 
--- a/include/vanillahill/net/detail/caller_server.hpp
+++ b/include/vanillahill/net/detail/caller_server.hpp
@@ -49,9 +49,15 @@
   /// closed after its answer.
   void close();
 
+  /// \brief Closes all connections, also those whose request has no answer yet.
+  void closeConnections();
+
   /// \brief Number of open connections.
   std::size_t connectionCount() const;
 
+  /// \brief Number of requests that have no answer yet.
+  std::size_t requestCount() const;
+
   /// \brief The port that callers connect to.
   std::uint16_t port() const { return m_Port; }
 
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -3,12 +3,12 @@
 #include "vanillahill/config/replica.hpp"
 #include "vanillahill/idempotency/key_guard.hpp"
 #include "vanillahill/kernel/dispatcher_base.hpp"
+#include "vanillahill/kernel/open_requests.hpp"
 #include "vanillahill/membership/members.hpp"
 
 #include <algorithm>
 #include <map>
 #include <set>
-#include <unordered_map>
 
 namespace vanillahill::kernel {
 
@@ -37,18 +37,6 @@
   return std::nullopt;
 }
 
-/// A request that has no answer yet.
-struct OpenRequest {
-  ServiceId m_Service{};
-  KindId m_Kind{};
-  TimePoint m_Deadline{};
-  /// Not idempotent: the key guard ensures that it runs at most once.
-  bool m_Guarded = false;
-  /// Set once the dispatcher has the request. A guarded request may first wait for the answers of
-  /// peers to a key query.
-  bool m_PassedToDispatcher = false;
-};
-
 } // namespace
 
 struct Node::State final : DispatchGate {
@@ -158,6 +146,10 @@
   void markDispatcherChanged(ServiceId Service) { m_ChangedDispatchers.push_back(Service); }
 
   void updateDispatcherTimers(TimePoint Now) {
+    if (m_EndsRequests) {
+      m_ChangedDispatchers.clear();
+      return;
+    }
     for (const ServiceId Service : m_ChangedDispatchers) {
       const TimePoint Next = findDispatcher(Service)->nextTimer(Now);
       auto [Known, Inserted] = m_NextTimers.try_emplace(Service, Next);
@@ -205,6 +197,10 @@
   }
 
   void onEvent(const RequestArrived &Input, TimePoint Now, Actions &Out) {
+    if (m_EndsRequests) {
+      Out.push_back(Answer{.m_Request = Input.m_Request, .m_Reason = Reason::NotServing});
+      return;
+    }
     const KindSettings *Kind = findKind(Input.m_Service, Input.m_Kind);
     if (Kind == nullptr) {
       const Reason Why = m_Settings ? Reason::UnknownKind : Reason::NotServing;
@@ -218,7 +214,7 @@
                            .m_Kind = Input.m_Kind,
                            .m_Deadline = Now + Allowed,
                            .m_Guarded = IsGuarded};
-    m_OpenRequests.emplace(Input.m_Request, Open);
+    m_OpenRequests.add(Input.m_Request, Open);
     const auto Verdict = !IsGuarded
                              ? idempotency::Verdict::Run
                              : m_KeyGuard.arrived(Input.m_Request, Input.m_Key, Input.m_KeyAge,
@@ -230,37 +226,45 @@
 
   /// Hands a request to the dispatcher of its service.
   void passToDispatcher(RequestId Request, TimePoint Now, Actions &Out) {
-    OpenRequest &Open = m_OpenRequests.at(Request);
+    if (m_EndsRequests) {
+      return;
+    }
+    OpenRequest &Open = *m_OpenRequests.find(Request);
     Open.m_PassedToDispatcher = true;
     findDispatcher(Open.m_Service)->arrive(Request, Open.m_Kind, Open.m_Deadline, Now, Out);
     markDispatcherChanged(Open.m_Service);
   }
 
   void onEvent(const CallerGone &Input, TimePoint Now, Actions &Out) {
-    const auto Found = m_OpenRequests.find(Input.m_Request);
-    if (Found == m_OpenRequests.end()) {
+    const OpenRequest *Open = m_OpenRequests.find(Input.m_Request);
+    if (Open == nullptr) {
       return;
     }
-    if (Found->second.m_PassedToDispatcher) {
-      findDispatcher(Found->second.m_Service)->callerGone(Input.m_Request, Now, Out);
-      markDispatcherChanged(Found->second.m_Service);
-    } else if (m_KeyGuard.callerGone(Input.m_Request, Now)) {
+    if (Open->m_PassedToDispatcher && !m_EndsRequests) {
+      findDispatcher(Open->m_Service)->callerGone(Input.m_Request, Now, Out);
+      markDispatcherChanged(Open->m_Service);
+    } else if (m_EndsRequests || m_KeyGuard.callerGone(Input.m_Request, Now)) {
       Out.push_back(Answer{.m_Request = Input.m_Request, .m_Reason = Reason::CallerGone});
     }
   }
 
   void onEvent(const AttemptEnded &Input, TimePoint Now, Actions &Out) {
-    const auto Found = m_AttemptServices.find(Input.m_Attempt);
-    if (Found == m_AttemptServices.end()) {
+    const auto Sent = m_OpenRequests.removeAttempt(Input.m_Attempt, Input.m_Result);
+    if (!Sent) {
       return;
     }
-    const ServiceId Service = Found->second;
-    m_AttemptServices.erase(Found);
-    findDispatcher(Service)->attemptEnded(Input, Now, Out);
-    markDispatcherChanged(Service);
+    if (m_EndsRequests) {
+      m_OpenRequests.endAfterAttempt(Sent->m_Request, Input, Now, Out);
+      return;
+    }
+    findDispatcher(Sent->m_Service)->attemptEnded(Input, Now, Out);
+    markDispatcherChanged(Sent->m_Service);
   }
 
   void onEvent(const ProbeEnded &Input, TimePoint Now, Actions &Out) {
+    if (m_EndsRequests) {
+      return;
+    }
     for (auto &[Id, Dispatcher] : m_Dispatchers) {
       Dispatcher->probeEnded(Input, Now, Out);
       markDispatcherChanged(Id);
@@ -269,7 +273,8 @@
 
   void onEvent(const PeerReceived &Input, TimePoint Now, Actions &Out) {
     if (const std::optional<ServiceId> Service = serviceOf(Input.m_Message)) {
-      if (DispatcherBase *Dispatcher = findDispatcher(*Service)) {
+      DispatcherBase *Dispatcher = findDispatcher(*Service);
+      if (Dispatcher != nullptr && !m_EndsRequests) {
         Dispatcher->peerMessage(Input.m_From, Input.m_Message, Now, Out);
         markDispatcherChanged(*Service);
       }
@@ -346,6 +351,16 @@
     }
   }
 
+  void onEvent(const StopOverdue & /*Input*/, TimePoint Now, Actions &Out) {
+    if (m_EndsRequests) {
+      return;
+    }
+    m_EndsRequests = true;
+    m_AcceptUntil = std::min(m_AcceptUntil.value_or(Now), Now);
+    m_TimerQueue.clear();
+    m_OpenRequests.endAll(Now, Out);
+  }
+
   void onEvent(const TimerFired & /*Input*/, TimePoint Now, Actions &Out) {
     tickMembership(Now, Out);
     m_KeyGuard.tick(Now, Out);
@@ -378,7 +393,7 @@
   void recordActions(std::size_t FirstIndex, TimePoint Now, Actions &Out) {
     for (std::size_t Index = FirstIndex; Index < Out.size(); ++Index) {
       if (const auto *Sent = std::get_if<Dispatch>(&Out[Index])) {
-        m_AttemptServices.emplace(Sent->m_Attempt, m_OpenRequests.at(Sent->m_Request).m_Service);
+        m_OpenRequests.addAttempt(Sent->m_Attempt, Sent->m_Request);
       } else if (const auto *Final = std::get_if<Answer>(&Out[Index])) {
         closeRequest(Answer(*Final), Now, Out);
       } else if (std::holds_alternative<SendPeer>(Out[Index])) {
@@ -388,15 +403,13 @@
   }
 
   void closeRequest(const Answer &Final, TimePoint Now, Actions &Out) {
-    const auto Found = m_OpenRequests.find(Final.m_Request);
-    if (Found == m_OpenRequests.end()) {
+    const std::optional<OpenRequest> Open = m_OpenRequests.remove(Final.m_Request);
+    if (!Open) {
       return;
     }
-    const OpenRequest Open = Found->second;
-    m_OpenRequests.erase(Found);
-    if (!Open.m_PassedToDispatcher) {
-      countKeyGuardAnswer(Open, Final);
-    } else if (Open.m_Guarded) {
+    if (!Open->m_PassedToDispatcher) {
+      countKeyGuardAnswer(*Open, Final);
+    } else if (Open->m_Guarded) {
       m_KeyGuard.finished(Final.m_Request, Final.m_Outcome, Final.m_Reason, Final.m_Reply, Now,
                           Out);
     }
@@ -428,8 +441,7 @@
       m_StoppedAccepting = true;
       Out.push_back(StopAccepting{});
     }
-    const bool Idle = m_OpenRequests.empty() && m_AttemptServices.empty();
-    if (Idle && !m_Stopped) {
+    if (m_OpenRequests.empty() && !m_Stopped) {
       m_Stopped = true;
       Out.push_back(Stopped{});
     }
@@ -483,15 +495,16 @@
   std::set<std::pair<TimePoint, ServiceId>> m_TimerQueue;
   /// Dispatchers whose timers the present event may have changed; may hold duplicates.
   std::vector<ServiceId> m_ChangedDispatchers;
-  std::unordered_map<RequestId, OpenRequest> m_OpenRequests;
-  /// Service of each attempt that has not ended.
-  std::unordered_map<AttemptId, ServiceId> m_AttemptServices;
+  OpenRequests m_OpenRequests;
   /// Answers to requests that ended while the key guard still held them.
   std::map<KindId, KindCounters> m_KeyGuardCounters;
   /// VMs that divide the slots, as last passed to DispatcherBase::setMembers().
   std::vector<VmId> m_SlotVms;
   /// Until when new requests are still accepted; set once a stop is requested.
   std::optional<TimePoint> m_AcceptUntil;
+  /// Set by StopOverdue. From then on the dispatchers neither get events nor fire timers, since
+  /// they would send requests that are already ended.
+  bool m_EndsRequests = false;
   bool m_StoppedAccepting = false;
   bool m_Stopped = false;
   std::uint64_t m_PeerMessagesSent = 0;
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -227,6 +227,15 @@
   });
 }
 
+void CallerConnection::closeNow() {
+  asio::post(m_Stream.get_executor(), [Self = shared_from_this()] {
+    if (Self->m_Phase == CallerPhase::Waiting) {
+      Self->m_Server->abandonRequest(Self->m_Request);
+    }
+    Self->close();
+  });
+}
+
 void CallerConnection::checkTimeout(TimePoint Now) {
   if (Now.time_since_epoch().count() < m_DeadlineTicks.load(std::memory_order_relaxed)) {
     return;
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -140,11 +140,22 @@
   });
 }
 
+void CallerServer::closeConnections() {
+  for (const auto &Connection : connections()) {
+    Connection->closeNow();
+  }
+}
+
 std::size_t CallerServer::connectionCount() const {
   const std::lock_guard Lock(m_Mutex);
   return m_Connections.size();
 }
 
+std::size_t CallerServer::requestCount() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Requests.size();
+}
+
 std::shared_ptr<const RouteTable> CallerServer::routes() const {
   const std::lock_guard Lock(m_Mutex);
   return m_Routes;
