Soak: a planned stop ends before grace and is logged

The fault of a planned stop sent SIGTERM and killed what was left after grace without a word. Rule STOP now asks that the process is gone before grace and that its log says "stopped". Half of the stops happen beside a server that hangs, with requests on the new route "wait", whose deadline is longer than grace.

Changed: the soak waits longer for callers at its end, since a request on "wait" may last 9 s.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -39,8 +39,8 @@
         self.reader = self.writer = None
         self.connection_used = False
 
-    async def connect(self):
-        self.vm = self.testbed.random.choice(self.testbed.vms_in_rotation())
+    async def connect(self, vm=None):
+        self.vm = vm or self.testbed.random.choice(self.testbed.vms_in_rotation())
         try:
             self.reader, self.writer = await asyncio.wait_for(
                 asyncio.open_connection(*self.vm.caller_address), CONNECT_TIMEOUT_S)
@@ -108,3 +108,13 @@
         if closes or self.testbed.random.random() > KEEP_OPEN_SHARE:
             self.close_connection()
         return min(float(answer.get_header("retry-after", "0")), request.time_left / 3)
+
+
+async def send_together(testbed, vm, route, count):
+    """Sends requests to one VM at once, each on a connection of its own."""
+    async def send_one():
+        caller = Caller(testbed)
+        if await caller.connect(vm):
+            await caller.send_request(route)
+            caller.close_connection()
+    await asyncio.gather(*(send_one() for _ in range(count)))
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -39,6 +39,7 @@
         self.check_cut_connections()
         self.check_retry_budget()
         self.check_process_ends()
+        self.check_stops()
         self.check_recovery()
         return self.violations
 
@@ -222,6 +223,10 @@
             self.add_violation("FAULT", f"{vm} ended unexpectedly at {at:.1f} s "
                                         f"with status {status}")
 
+    def check_stops(self):
+        for vm, at, text in self.history.bad_stops:
+            self.add_violation("STOP", f"{vm}, told to stop at {at:.1f} s: {text}")
+
     def check_recovery(self):
         for restarted_at in self.history.returns:
             begin = restarted_at + self.bounds["recovery"]
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -77,6 +77,9 @@
     versions: list = dataclasses.field(default_factory=list)
     # Planned stops: (vm, SIGTERM sent at)
     stops: list = dataclasses.field(default_factory=list)
+    # Planned stops that the process did not end by itself, or without its last log line: (vm, SIGTERM
+    # sent at, what was wrong)
+    bad_stops: list = dataclasses.field(default_factory=list)
     # Unexpected ends of processes: (vm, at, exit status)
     ends: list = dataclasses.field(default_factory=list)
     # Times at which all VMs were ready again after a kill of all
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,7 +19,7 @@
 
 import http1
 from backends import HEALTH_PATH, HEARTBEAT_TIMEOUT_S, Server
-from callers import Caller
+from callers import Caller, send_together
 from checker import Checker
 from history import History, Span
 from proxy import Proxy
@@ -38,6 +38,9 @@
 STALL_PROBE_PERIOD_S = 0.05
 # Shorter delays are ignored: a busy machine delays this process by some tens of milliseconds.
 MIN_STALL_S = 0.25
+# How long a server has been hanging when a planned stop begins.
+HANG_BEFORE_STOP_S = 0.3
+LONG_REQUESTS = 12
 
 
 class Route:
@@ -90,11 +93,11 @@
             "platform": {"platform": {"address": "%s:%d" % self.store_address}},
             "terms": {"bounds": bounds}}))
 
-    def start(self):
+    def start(self, output=None):
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 [self.testbed.program, "--settings", str(self.settings_path), "serve"],
-                stdout=log, stderr=log)
+                stdout=log if output is None else output, stderr=log)
 
     async def is_ready(self):
         try:
@@ -144,7 +147,9 @@
         self.ended = False
         self.routes = {"look": Route("look", "desk", True, 1.5),
                        "post": Route("post", "desk", False, 2.0),
-                       "list": Route("list", "view", True, 2.5)}
+                       "list": Route("list", "view", True, 2.5),
+                       # Its requests may last longer than a planned stop.
+                       "wait": Route("wait", "desk", False, BOUNDS["grace"] + 3.0)}
         self.dropped_routes = []
         self.version = 1
         self.vms = [Vm(self, number) for number in range(options.vms)]
@@ -339,16 +344,39 @@
         if vm is None:
             return
         vm.fault_running = True
+        # Half of the stops find requests that do not end in time.
+        hanging = None
+        if self.random.random() < 0.5 and len(self.healthy_servers("desk")) > 2:
+            hanging = self.random.choice(self.healthy_servers("desk"))
+            hanging.fault, hanging.fault_share = "hang", 1.0
+            hang_begin = self.testbed.clock()
+            requests = asyncio.create_task(send_together(
+                self.testbed, vm, self.testbed.routes["wait"], LONG_REQUESTS))
+            await asyncio.sleep(HANG_BEFORE_STOP_S)
         begin = self.testbed.clock()
-        self.testbed.history.stops.append((vm.name, begin))
+        await self.stop(vm, begin)
+        if hanging is not None:
+            hanging.fault = None
+            self.testbed.record_span(hanging.name, hang_begin)
+            await requests
+        await self.restart(vm)
+        self.testbed.record_span(vm.name + " planned", begin)
+
+    async def stop(self, vm, begin):
+        """Stops a process as planned; records when it must be killed or does not log its end."""
+        history = self.testbed.history
+        history.stops.append((vm.name, begin))
+        log_size = vm.log_path.stat().st_size
         vm.send_signal(signal.SIGTERM)
         if await vm.wait_end(BOUNDS["grace"]) is None:
+            history.bad_stops.append((vm.name, begin, "still there after grace, killed"))
             vm.send_signal(signal.SIGKILL)
             await vm.wait_end(5.0)
-        elif vm.process.returncode != 0:
-            self.testbed.history.ends.append((vm.name, self.testbed.clock(), vm.process.returncode))
-        await self.restart(vm)
-        self.testbed.record_span(vm.name + " planned", begin)
+            return
+        if vm.process.returncode != 0:
+            history.ends.append((vm.name, self.testbed.clock(), vm.process.returncode))
+        if b'"event":"stopped"' not in vm.log_path.read_bytes()[log_size:]:
+            history.bad_stops.append((vm.name, begin, "no \"stopped\" in its log"))
 
     async def settings_change(self):
         vm = self.choose_vm()
@@ -407,7 +435,7 @@
 
     async def configuration(self):
         testbed = self.testbed
-        extra = [name for name in testbed.routes if name not in ("look", "post", "list")]
+        extra = [name for name in testbed.routes if name not in ("look", "post", "list", "wait")]
         choice = self.random.choice(("add", "drop", "move"))
         if choice == "drop" and extra:
             testbed.dropped_routes.append(testbed.routes.pop(extra[0]))
@@ -488,7 +516,8 @@
         # After this time the checker counts every VM, server and the store as undisturbed again.
         await asyncio.sleep(BOUNDS["stability_window"] + 1.0)
         testbed.ended = True
-        await asyncio.wait(callers, timeout=5.0)
+        # A request that hangs lasts until the longest deadline.
+        await asyncio.wait(callers, timeout=BOUNDS["grace"] + 5.0)
         await asyncio.wait(watchers, timeout=5.0)
     finally:
         await testbed.close()
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -153,6 +153,9 @@
     def test_unexpected_end_of_a_process(self):
         self.expect_violation("FAULT", [request()], [attempt()], ends=[("vm-0", 12.0, -6)])
 
+    def test_stop_that_the_process_did_not_end(self):
+        self.expect_violation("STOP", [], [], bad_stops=[("vm-0", 20.0, "killed after grace")])
+
     def test_no_recovery(self):
         requests = [request(id=f"q{number}", answer_id="", at=40.0, ended=41.0, status=503,
                             signature="")
