Soak: configurations that grow over slow links to the store

The proxy limits the rate of a link. The scenario "growth" (--scenario, off without it) publishes versions whose read takes 1 to 1.6 s at 150 to 250 kB/s, the second while the first is being read, while servers leave, crash and join. The checker adds to the bound of configuration the time that the newest version takes on the link of that VM. Route moves to a module of its own.

The scenario now leaves a program that reads every version time to do so.

Four histories in test_checker.py, one of which (within the time on a slow link) fails without the added time; the three others guard against an added time that is too long.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -28,6 +28,8 @@
         self.spans = collections.defaultdict(list)
         for span in history.spans:
             self.spans[span.where].append(span)
+        # How much the checks with a condition judged, by check.
+        self.judged = collections.Counter()
 
     def check(self):
         for request in self.history.sent:
@@ -116,16 +118,20 @@
         """Checks where the request ran, or why it was not found, by the versions then in force.
 
         These are the versions from the "config" bound before sending to the end of the request;
-        all older ones count too when the VM or the store was disturbed.
+        all older ones count too when the VM or the store was disturbed. A slow link adds the time
+        that the newest version takes on it to the bound.
         """
         times = [at for at, _ in self.history.versions]
-        oldest = bisect.bisect_right(times, request.at - self.bounds["config"]) - 1
+        bound = self.bounds["config"] + self.transfer_time(request)
+        oldest = bisect.bisect_right(times, request.at - bound) - 1
         newest = bisect.bisect_right(times, request.ended) - 1
         if oldest < 0:
             return
         must_be_current = self.was_undisturbed_and_up(request.vm, request.at, request.at) and \
             self.was_undisturbed("store", request.at, request.at)
         allowed = self.history.versions[oldest if must_be_current else 0:newest + 1]
+        if bound > self.bounds["config"] and must_be_current:
+            self.judged["configuration over a slow link"] += 1
         for attempt in self.attempts_by_id[request.id]:
             if all(attempt.service not in routes.get(request.route, ()) for _, routes in allowed):
                 rule = "CONFIG" if self.was_ever_allowed(request.route, attempt.service) \
@@ -137,6 +143,13 @@
                 self.add_violation("CONFIG", f"{request.id}: 404 for the route "
                                              f"{request.route} at {request.vm}")
 
+    def transfer_time(self, request):
+        """How long the configuration that is newest at the request takes on the VM's slow link."""
+        sizes = [size for at, size in self.history.version_bytes if at <= request.at]
+        rates = [link.bytes_per_s for link in self.history.slow_links if link.vm == request.vm
+                 and link.begin <= request.at <= link.end + self.bounds["config"]]
+        return sizes[-1] / min(rates) if sizes and rates else 0.0
+
     def was_ever_allowed(self, route, service):
         return any(service in routes.get(route, ()) for _, routes in self.history.versions)
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -55,6 +55,16 @@
     answered: bool = False
 
 
+@dataclasses.dataclass
+class SlowLink:
+    """Time during which the link between a VM and the store had a limited rate."""
+
+    vm: str
+    begin: float
+    end: float
+    bytes_per_s: float
+
+
 @dataclasses.dataclass
 class Span:
     """Time during which one VM, one server or the store was disturbed."""
@@ -75,6 +85,9 @@
     leaving: list = dataclasses.field(default_factory=list)
     # (acknowledged at, {route: {services}}) in the order of the configuration versions
     versions: list = dataclasses.field(default_factory=list)
+    # (acknowledged at, bytes) of configuration versions
+    version_bytes: list = dataclasses.field(default_factory=list)
+    slow_links: list = dataclasses.field(default_factory=list)
     # Planned stops: (vm, SIGTERM sent at)
     stops: list = dataclasses.field(default_factory=list)
     # Unexpected ends of processes: (vm, at, exit status)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,8 +1,9 @@
-"""A loopback proxy that delays, resets, refuses or holds back (one way or both) connections."""
+"""A loopback proxy that delays, slows, resets, refuses or holds back connections."""
 
 import asyncio
 
 CHUNK_BYTES = 64 * 1024
+SLOW_CHUNK_BYTES = 4 * 1024
 
 
 class Proxy:
@@ -15,6 +16,9 @@
         self.hold_forward = False
         self.hold_back = False
         self.refuses = False
+        # Rate of all connections together; None means unlimited.
+        self.bytes_per_s = None
+        self.busy_until = 0.0
         self.listener = None
         self.writers = set()
         self.faults_changed = asyncio.Event()
@@ -64,9 +68,19 @@
                     await asyncio.sleep(self.delay)
                 while getattr(self, hold_attribute):
                     await self.faults_changed.wait()
-                writer.write(data)
-                await writer.drain()
+                await self.write_at_rate(writer, data)
             if writer.can_write_eof():
                 writer.write_eof()
         except (OSError, asyncio.CancelledError):
             writer.transport.abort()
+
+    async def write_at_rate(self, writer, data):
+        while data:
+            chunk = data[:SLOW_CHUNK_BYTES] if self.bytes_per_s else data
+            data = data[len(chunk):]
+            if self.bytes_per_s:
+                now = asyncio.get_running_loop().time()
+                self.busy_until = max(now, self.busy_until) + len(chunk) / self.bytes_per_s
+                await asyncio.sleep(self.busy_until - now)
+            writer.write(chunk)
+            await writer.drain()
--- /dev/null
+++ b/tests/soak/scenarios.py
@@ -0,0 +1,69 @@
+"""Scenarios that a soak plays beside its faults."""
+
+import asyncio
+import dataclasses
+import json
+import math
+import time
+import typing
+
+from history import SlowLink
+from routes import Route
+
+RATES_BYTES_PER_S = (150e3, 250e3)
+# How long one read of a grown configuration takes at first, and when it grows no more.
+MIN_READ_S, MAX_READ_S = 1.0, 1.5
+ROUTES_PER_STEP = 200
+
+
+def add_routes(testbed, count):
+    """Adds routes that are published with the next version; returns their names."""
+    names = [f"grown{testbed.version}-{number}" for number in range(count)]
+    for name in names:
+        testbed.routes[name] = Route(name, testbed.random.choice(("desk", "view")),
+                                     testbed.random.random() < 0.5, 2.0)
+    return names
+
+
+async def grow_configuration(faults, limit):
+    """Versions grow until one read over the slow links takes seconds, then shrink again."""
+    testbed = faults.testbed
+    rate = testbed.random.uniform(*RATES_BYTES_PER_S)
+    links = [SlowLink(vm.name, testbed.clock(), math.inf, rate) for vm in testbed.vms]
+    testbed.history.slow_links += links
+    for vm in testbed.vms:
+        vm.store_proxy.bytes_per_s = rate
+    route_bytes = len(json.dumps(Route("grown100-1000", "desk", True, 2.0).resource()))
+    while time.monotonic() < limit:
+        grown = add_routes(testbed, int(MIN_READ_S * rate / route_bytes))
+        testbed.publish()
+        # The second version follows while the first is being read; the others only after the bound.
+        await asyncio.sleep(testbed.random.uniform(0.2, 0.8))
+        grown += add_routes(testbed, ROUTES_PER_STEP // 2)
+        testbed.publish()
+        while (read_s := testbed.history.version_bytes[-1][1] / rate) < MAX_READ_S:
+            await asyncio.sleep(testbed.history.bounds["config"] + read_s)
+            if time.monotonic() > limit:
+                break
+            grown += add_routes(testbed, ROUTES_PER_STEP)
+            testbed.publish()
+        await asyncio.sleep(testbed.history.bounds["config"] + read_s)
+        for name in [name for name in grown if name in testbed.routes]:
+            testbed.dropped_routes.append(testbed.routes.pop(name))
+        testbed.publish()
+        await asyncio.sleep(1.0)
+    for vm, link in zip(testbed.vms, links):
+        vm.store_proxy.bytes_per_s = None
+        link.end = testbed.clock()
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    play: typing.Callable
+    # Names of the faults that are drawn beside it.
+    kinds: tuple
+
+
+SCENARIOS = {
+    "growth": Scenario(grow_configuration, ("leave", "join", "crash")),
+}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,8 @@
 from checker import Checker
 from history import History, Span
 from proxy import Proxy
+from routes import Route
+from scenarios import SCENARIOS
 from store import Store
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -40,24 +42,6 @@
 MIN_STALL_S = 0.25
 
 
-class Route:
-    def __init__(self, name, service, safe, deadline_s):
-        self.name = name
-        self.service = service
-        self.safe = safe
-        self.deadline_s = deadline_s
-        self.host = "soak.example"
-        self.prefix = f"/{name}/"
-        self.max_attempts = 2
-
-    def spec(self):
-        return {"host": self.host, "path_prefix": self.prefix,
-                "kind": "safe" if self.safe else "unsafe",
-                "timeout": f"{int(self.deadline_s * 1000)}ms",
-                "target_latency": f"{int(self.deadline_s * 300)}ms", "priority": 1,
-                "service": self.service, "max_attempts": self.max_attempts}
-
-
 class Vm:
     """One entry process with the proxies in front of it and of the store."""
 
@@ -193,8 +177,7 @@
     def publish(self):
         """Writes a configuration version with the current routes."""
         self.version += self.random.randint(1, 3)
-        resources = [{"resource_kind": "routes", "metadata": {"name": route.name},
-                      "spec": route.spec()} for route in self.routes.values()]
+        resources = [route.resource() for route in self.routes.values()]
         resources += [{"resource_kind": "services", "metadata": {"name": name},
                        "spec": {"health_path": HEALTH_PATH, "max_connections": 200}}
                       for name in SERVICES]
@@ -205,6 +188,7 @@
         at = self.store.append_record("keyed.op", "config", body)
         allowed = {route.name: {route.service} for route in self.routes.values()}
         self.history.versions.append((at, allowed))
+        self.history.version_bytes.append((at, len(body)))
 
     async def add_server(self, service, address_index, name=None):
         """Starts a server at the numbered address, behind a proxy."""
@@ -258,13 +242,18 @@
 class Faults:
     """Draws faults from the seed and injects them; faults may overlap."""
 
-    def __init__(self, testbed):
+    def __init__(self, testbed, options):
         self.testbed = testbed
         self.random = testbed.random
+        self.scenarios = [SCENARIOS[name] for name in options.scenario]
+        self.kinds = self.all_kinds()
+        if self.scenarios and not options.mixed:
+            self.kinds = [getattr(self, name) for scenario in self.scenarios
+                          for name in scenario.kinds]
         self.running = set()
         self.errors = []
 
-    def kinds(self):
+    def all_kinds(self):
         return [self.kill, self.pause, self.planned_stop, self.planned_stop, self.settings_change,
                 self.caller_link, self.store_link, self.server_link, self.store_fault,
                 self.store_shorten, self.server_fault, self.server_fault, self.crash, self.leave,
@@ -273,16 +262,21 @@
 
     async def run(self, seconds):
         limit = time.monotonic() + seconds
+        for scenario in self.scenarios:
+            self.start(scenario.play(self, limit))
         while time.monotonic() < limit:
-            kind = self.random.choice(self.kinds())
+            kind = self.random.choice(self.kinds)
             self.testbed.fault_counts[kind.__name__] += 1
-            task = asyncio.create_task(kind())
-            self.running.add(task)
-            task.add_done_callback(self.record_end)
+            self.start(kind())
             await asyncio.sleep(self.random.uniform(0.2, 1.6))
         while self.running:
             await asyncio.wait(self.running)
 
+    def start(self, fault):
+        task = asyncio.create_task(fault)
+        self.running.add(task)
+        task.add_done_callback(self.record_end)
+
     def record_end(self, task):
         self.running.discard(task)
         if not task.cancelled() and task.exception() is not None:
@@ -483,7 +477,7 @@
         watchers = [asyncio.create_task(testbed.poll_readiness()),
                     asyncio.create_task(testbed.watch_processes()),
                     asyncio.create_task(testbed.watch_event_loop())]
-        faults = Faults(testbed)
+        faults = Faults(testbed, options)
         await faults.run(options.seconds)
         # After this time the checker counts every VM, server and the store as undisturbed again.
         await asyncio.sleep(BOUNDS["stability_window"] + 1.0)
@@ -492,7 +486,9 @@
         await asyncio.wait(watchers, timeout=5.0)
     finally:
         await testbed.close()
-    violations = Checker(testbed.history).check()
+    checker = Checker(testbed.history)
+    violations = checker.check()
+    testbed.judged_counts = checker.judged
     violations += [("SOAK", text) for text in faults.errors]
     return testbed, violations
 
@@ -507,7 +503,10 @@
     answers = collections.Counter(request.status for request in sent)
     shown = ", ".join(f"{status or 'cut'} {count}" for status, count in answers.most_common())
     kinds = ", ".join(f"{name} {count}" for name, count in sorted(testbed.fault_counts.items()))
-    print(f"soak: seed {options.seed}, {options.seconds:g} s, {options.vms} VMs: {kinds}")
+    judged = ", ".join(f"{name} {count}" for name, count in testbed.judged_counts.items() if count)
+    print(f"soak: seed {options.seed}, {options.seconds:g} s, {options.vms} VMs: "
+          f"{', '.join([*options.scenario, kinds])}")
+    print(f"soak: seed {options.seed}: judged: {judged or 'none'}")
     print(f"soak: seed {options.seed}: {len(sent)} requests: {shown}; "
           f"{len(violations)} violations")
     for rule, text in violations[:20]:
@@ -522,6 +521,10 @@
     parser.add_argument("--seconds", type=float, default=20, help="time with faults for each seed")
     parser.add_argument("--regressions", action="store_true",
                         help="also run the seeds of regressions.txt")
+    parser.add_argument("--scenario", action="append", default=[], choices=SCENARIOS,
+                        help="play it all the time; may be repeated")
+    parser.add_argument("--mixed", action="store_true",
+                        help="with a scenario, draw all faults, not only those that suit it")
     parser.add_argument("--vms", type=int, default=5)
     parser.add_argument("--servers", type=int, default=9)
     parser.add_argument("--callers", type=int, default=24)
@@ -534,23 +537,23 @@
 
 
 def read_regressions():
-    """Yields seeds that once failed, each with the seconds to run it."""
+    """Yields seeds that once failed, each with the seconds to run it and its scenarios."""
     for line in (pathlib.Path(__file__).parent / "regressions.txt").read_text().splitlines():
         if line and not line.startswith("#"):
-            seed, seconds, _ = line.split(" ", 2)
-            yield int(seed), float(seconds)
+            seed, seconds, scenario, _ = line.split(" ", 3)
+            yield int(seed), float(seconds), [] if scenario == "-" else [scenario]
 
 
 def main():
     options = parse_arguments()
-    runs = [(seed, options.seconds) for seed in range(options.seed, options.seed + options.seeds)]
+    runs = [(seed, options.seconds, options.scenario)
+            for seed in range(options.seed, options.seed + options.seeds)]
     if options.regressions:
         runs += read_regressions()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
     failed_seeds = []
-    for seed, seconds in runs:
-        options.seed = seed
-        options.seconds = seconds
+    for options.seed, options.seconds, options.scenario in runs:
+        seed = options.seed
         with tempfile.TemporaryDirectory() as temporary:
             folder = options.keep / str(seed) if options.keep else pathlib.Path(temporary)
             folder.mkdir(parents=True, exist_ok=True)
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -3,7 +3,7 @@
 import unittest
 
 from checker import Checker
-from history import Attempt, History, SentRequest, Span
+from history import Attempt, History, SentRequest, SlowLink, Span
 
 BOUNDS = {"grace": 6.0, "drain": 2.0, "config": 2.0, "stability_window": 3.0, "recovery": 15.0,
           "budget_ratio": 0.2, "budget_window": 10.0, "budget_slack": 2}
@@ -127,6 +127,29 @@
     def test_not_found_for_a_configured_route(self):
         self.expect_violation("CONFIG", [request(status=404, signature="")], [])
 
+    def grown_configuration(self, at, slow_links):
+        """The route "grown" is added at 10 s; its version takes 1.5 s on a link of 100 kB/s."""
+        versions = [(0.0, {"look": {"desk"}}), (10.0, {"look": {"desk"}, "grown": {"desk"}})]
+        refused = request(route="grown", status=404, signature="", at=at, ended=at + 0.1)
+        return self.violated_rules([refused], [], versions=versions, slow_links=slow_links,
+                                   version_bytes=[(0.0, 1000), (10.0, 150000)])
+
+    def test_added_route_unknown_after_the_time_on_a_slow_link(self):
+        self.assertEqual({"CONFIG"},
+                         self.grown_configuration(13.6, [SlowLink("vm-0", 5.0, 30.0, 100e3)]))
+
+    def test_added_route_unknown_within_the_time_on_a_slow_link(self):
+        self.assertEqual(set(),
+                         self.grown_configuration(13.4, [SlowLink("vm-0", 5.0, 30.0, 100e3)]))
+
+    def test_added_route_unknown_at_a_vm_with_a_fast_link(self):
+        self.assertEqual({"CONFIG"},
+                         self.grown_configuration(12.1, [SlowLink("vm-1", 5.0, 30.0, 100e3)]))
+
+    def test_added_route_unknown_after_a_slow_link_became_fast(self):
+        self.assertEqual({"CONFIG"},
+                         self.grown_configuration(13.4, [SlowLink("vm-0", 5.0, 11.0, 100e3)]))
+
     def test_leaving_server_after_the_bound(self):
         self.expect_violation("DRAIN", [request()], [attempt()], leaving=[("i-1", 17.0)])
 
