Soak: a store that comes back from an older copy

The newest lost record of each key is written again over 2 s in another order, unless its writer wrote a newer one. In half of the returns VMs reach the store at once, in the others only once the offsets that they know exist again.

Checks: a VM that acted on a version acts on no older one unless it was restarted or paused; the bounds of configuration and drain that an outage interrupts begin anew at its end. A bound that was over before the outage holds during it. A leaving server serves until the stretched bound.

Nine histories in test_checker.py.

--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import math
 
 
 def digest(body):
@@ -65,6 +66,14 @@
     bytes_per_s: float
 
 
+@dataclasses.dataclass
+class Outage:
+    """From the store's failure until all that its older copy lacked was written again."""
+
+    begin: float
+    end: float = math.inf
+
+
 @dataclasses.dataclass
 class Span:
     """Time during which one VM, one server or the store was disturbed."""
@@ -88,9 +97,19 @@
     # (acknowledged at, bytes) of configuration versions
     version_bytes: list = dataclasses.field(default_factory=list)
     slow_links: list = dataclasses.field(default_factory=list)
+    # Returns of the store from an older copy, in order
+    outages: list = dataclasses.field(default_factory=list)
     # Planned stops: (vm, SIGTERM sent at)
     stops: list = dataclasses.field(default_factory=list)
     # Unexpected ends of processes: (vm, at, exit status)
     ends: list = dataclasses.field(default_factory=list)
     # Times at which all VMs were ready again after a kill of all
     returns: list = dataclasses.field(default_factory=list)
+
+    def due(self, at, bound):
+        """When a bound on what was acknowledged at a time is over; an outage begins it anew."""
+        due = at + bound
+        for outage in self.outages:
+            if outage.begin < due and at < outage.end:
+                due = max(due, outage.end + bound)
+        return due
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -7,13 +7,15 @@
 import time
 import typing
 
-from history import SlowLink
+from history import Outage, SlowLink
 from routes import Route
 
 RATES_BYTES_PER_S = (150e3, 250e3)
 # How long one read of a grown configuration takes at first, and when it grows no more.
 MIN_READ_S, MAX_READ_S = 1.0, 1.5
 ROUTES_PER_STEP = 200
+COPY_AGES_S = (1.0, 4.0)
+REWRITE_S = 2.0
 
 
 def add_routes(testbed, count):
@@ -57,6 +59,38 @@
         link.end = testbed.clock()
 
 
+async def return_from_copy(faults, limit):
+    """The store fails and comes back from an older copy; what it lost is written again."""
+    testbed = faults.testbed
+    store = testbed.store
+    while time.monotonic() < limit:
+        await asyncio.sleep(testbed.random.uniform(1.0, 5.0))
+        outage = Outage(testbed.clock())
+        testbed.history.outages.append(outage)
+        store.fault = "refuse"
+        await asyncio.sleep(testbed.random.uniform(0.2, 1.5))
+        ends = {name: len(topic.records) for name, topic in store.topics.items()}
+        lost = store.restore_copy(testbed.random.uniform(*COPY_AGES_S))
+        begins = {name: len(topic.records) for name, topic in store.topics.items()}
+        # Otherwise VMs reach the store only after the offsets that they know were given out again.
+        readable_at_once = testbed.random.random() < 0.5
+        store.fault = None if readable_at_once else store.fault
+        entries = list(lost.items())
+        testbed.random.shuffle(entries)
+        for (name, key), value in entries:
+            await asyncio.sleep(REWRITE_S / len(entries))
+            # A writer that has written something newer since does not repeat the older record.
+            if all(key != written for written, _ in store.topics[name].records[begins[name]:]):
+                store.append_record(name, key, value)
+        while not readable_at_once and any(len(topic.records) < ends[name]
+                                           for name, topic in store.topics.items()):
+            if len(store.topics["keyed.op"].records) < ends["keyed.op"]:
+                await faults.configuration()
+            await asyncio.sleep(0.1)
+        store.fault = None
+        outage.end = testbed.clock()
+
+
 @dataclasses.dataclass(frozen=True)
 class Scenario:
     play: typing.Callable
@@ -66,4 +100,5 @@
 
 SCENARIOS = {
     "growth": Scenario(grow_configuration, ("leave", "join", "crash")),
+    "store-copy": Scenario(return_from_copy, ("leave", "join", "configuration")),
 }
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -3,7 +3,7 @@
 import unittest
 
 from checker import Checker
-from history import Attempt, History, SentRequest, SlowLink, Span
+from history import Attempt, History, Outage, SentRequest, SlowLink, Span
 
 BOUNDS = {"grace": 6.0, "drain": 2.0, "config": 2.0, "stability_window": 3.0, "recovery": 15.0,
           "budget_ratio": 0.2, "budget_window": 10.0, "budget_slack": 2}
@@ -150,6 +150,55 @@
         self.assertEqual({"CONFIG"},
                          self.grown_configuration(13.4, [SlowLink("vm-0", 5.0, 11.0, 100e3)]))
 
+    def moved_back(self, **changes):
+        """vm-0 acts on the version of 10 s, and at 11 s on the older one again."""
+        requests = [request(at=10.5, ended=10.6),
+                    request(id="q2", answer_id="q2", at=11.0, ended=11.1, signature="s2")]
+        attempts = [attempt(service="view", at=10.52),
+                    attempt(id="q2", at=11.02, signature="s2")]
+        versions = [(0.0, {"look": {"desk"}}), (10.0, {"look": {"view"}})]
+        return self.violated_rules(requests, attempts, versions=versions, **changes)
+
+    def test_configuration_that_goes_back(self):
+        self.assertEqual({"CONFIG"}, self.moved_back())
+
+    def test_configuration_that_goes_back_during_an_outage(self):
+        self.assertEqual({"CONFIG"}, self.moved_back(outages=[Outage(10.2, 13.0)]))
+
+    def test_configuration_that_goes_back_in_a_restarted_vm(self):
+        self.assertEqual(set(), self.moved_back(spans=[Span("vm-0 process", 10.7, 10.9)]))
+
+    def test_route_that_is_unknown_again(self):
+        requests = [request(route="new", at=10.5, ended=10.6),
+                    request(id="q2", answer_id="q2", route="new", status=404, signature="",
+                            at=11.0, ended=11.1)]
+        versions = [(0.0, {"look": {"desk"}}), (10.0, {"new": {"desk"}})]
+        self.expect_violation("CONFIG", requests, [attempt(at=10.52)], versions=versions)
+
+    def test_older_configuration_after_an_outage(self):
+        versions = [(0.0, {"look": {"desk"}}), (10.0, {"look": {"view"}})]
+        self.expect_violation("CONFIG", [request()], [attempt()], versions=versions,
+                              outages=[Outage(11.0, 17.9)])
+
+    def test_older_configuration_within_the_bound_after_an_outage(self):
+        versions = [(0.0, {"look": {"desk"}}), (10.0, {"look": {"view"}})]
+        self.assertEqual(set(), self.violated_rules([request()], [attempt()], versions=versions,
+                                                    outages=[Outage(11.0, 18.1)]))
+
+    def test_older_configuration_at_an_outage_after_the_bound(self):
+        versions = [(0.0, {"look": {"desk"}}), (10.0, {"look": {"view"}})]
+        self.expect_violation("CONFIG", [request()], [attempt()], versions=versions,
+                              outages=[Outage(19.0, 22.0)])
+
+    def test_leaving_server_after_an_outage(self):
+        self.expect_violation("DRAIN", [request()], [attempt()], leaving=[("i-1", 15.0)],
+                              outages=[Outage(16.0, 17.9)])
+
+    def test_leaving_server_within_the_bound_after_an_outage(self):
+        self.assertEqual(set(), self.violated_rules([request()], [attempt()],
+                                                    leaving=[("i-1", 15.0)],
+                                                    outages=[Outage(16.0, 18.1)]))
+
     def test_leaving_server_after_the_bound(self):
         self.expect_violation("DRAIN", [request()], [attempt()], leaving=[("i-1", 17.0)])
 
