Soak: servers that announce in their answers that they leave

A VM that can't read the store goes on sending requests to a server whose answers say that it leaves.

In the scenario "leaving-header" (off without the option) servers that leave send Server-Leaving: 1 in all answers, to requests and at the health path, for 6 s during which VMs can't read the store, and then leave as usual. Every second one leaves silently: its health path answers 200.

Check: a request that a caller sent to a VM later than the drain bound after that VM had passed on such an answer does not reach the server from that VM, in touch or not; a restart or pause of the VM since then excuses it.

Six histories in test_checker.py; without the check the three bad ones fail.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -40,6 +40,8 @@
         self.state = "ready"
         self.fault = None
         self.fault_share = 0.0
+        # All answers have Server-Leaving.
+        self.says_leaving = False
         self.answer_count = 0
         self.listener = None
         self.writers = set()
@@ -77,6 +79,7 @@
     async def leave(self, silently):
         """Registers as draining, or only removes its record, and serves until after the bound."""
         history = self.testbed.history
+        self.says_leaving |= self.testbed.announces_leaving
         if silently:
             acknowledged_at = self.unregister()
         else:
@@ -96,7 +99,8 @@
         await http1.serve_connection(reader, writer, self.writers, self.handle_request)
 
     def common_headers(self):
-        return [("Backend-Load", f"{self.running},{self.waiting},{self.slots},100")]
+        headers = [("Backend-Load", f"{self.running},{self.waiting},{self.slots},100")]
+        return headers + [("Server-Leaving", "1")] * self.says_leaving
 
     async def handle_request(self, request, writer):
         if request.target == HEALTH_PATH:
@@ -151,6 +155,7 @@
         attempt.status = 500 if fault == "errors" else 200
         attempt.signature = f"{self.name}.{self.answer_count}.{attempt.id}"
         attempt.answer = digest(body)
+        attempt.leaving = self.says_leaving
         headers = [("Request-Id", attempt.id), ("Response-Signature", attempt.signature),
                    *self.common_headers()]
         if self.state == "draining":
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -39,6 +39,7 @@
         self.check_unknown_requests()
         self.check_configuration_order()
         self.check_leaving_servers()
+        self.check_announced_leaving()
         self.check_cut_connections()
         self.check_retry_budget()
         self.check_process_ends()
@@ -211,6 +212,24 @@
                 self.add_violation("DRAIN", f"{attempt.id}: {attempt.server} got it "
                                             f"{late:.2f} s after the bound")
 
+    def check_announced_leaving(self):
+        """After an answer with Server-Leaving, the VM that passed it on stops using that server."""
+        passed_on = {}
+        for request in sorted(self.history.sent, key=lambda request: request.ended):
+            for attempt in self.attempts_by_id[request.id]:
+                if attempt.leaving and attempt.signature and \
+                        attempt.signature == request.signature:
+                    passed_on.setdefault((request.vm, attempt.server), request.ended)
+        self.judged["announced leaving"] += len(passed_on)
+        for attempt in self.history.ran:
+            request = self.requests_by_id.get(attempt.id)
+            since = passed_on.get((request.vm, attempt.server)) if request else None
+            late = request.at - since - self.bounds["drain"] if since is not None else 0.0
+            if late > 0 and self.was_running(request.vm, since, attempt.at):
+                self.add_violation("DRAIN", f"{attempt.id}: {attempt.server} got it from "
+                                            f"{request.vm} {late:.2f} s after the bound of its "
+                                            "Server-Leaving")
+
     def check_cut_connections(self):
         """A request that an undisturbed server answered must not end with a cut connection."""
         cut_requests = collections.Counter()
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -54,6 +54,8 @@
     answer: str = ""
     # The server wrote the complete answer, and no fault truncated it.
     answered: bool = False
+    # The answer had Server-Leaving.
+    leaving: bool = False
 
 
 @dataclasses.dataclass
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -16,6 +16,8 @@
 ROUTES_PER_STEP = 200
 COPY_AGES_S = (1.0, 4.0)
 REWRITE_S = 2.0
+# How much longer than the drain bound a server says that it leaves before VMs can read it.
+UNHEARD_EXTRA_S = 4.0
 
 
 def add_routes(testbed, count):
@@ -91,6 +93,32 @@
         outage.end = testbed.clock()
 
 
+async def leave_unheard(faults, limit):
+    """Servers say in their answers that they leave while VMs can't read it from the store."""
+    testbed = faults.testbed
+    testbed.announces_leaving = True
+    silently = False
+    while time.monotonic() < limit:
+        await asyncio.sleep(testbed.random.uniform(0.3, 1.5))
+        server = faults.choose_removable_server()
+        if server is None:
+            continue
+        begin = testbed.clock()
+        testbed.store.fault = "refuse"
+        testbed.servers.remove(server)
+        server.says_leaving = True
+        # A server that leaves silently answers its health path with 200.
+        silently = not silently
+        if not silently:
+            server.state = "draining"
+        await asyncio.sleep(testbed.history.bounds["drain"] + UNHEARD_EXTRA_S)
+        testbed.store.fault = None
+        testbed.store.reset_connections()
+        testbed.record_span("store", begin)
+        await server.leave(silently)
+        await testbed.add_server(server.service, server.address_index)
+
+
 @dataclasses.dataclass(frozen=True)
 class Scenario:
     play: typing.Callable
@@ -101,4 +129,5 @@
 SCENARIOS = {
     "growth": Scenario(grow_configuration, ("leave", "join", "crash")),
     "store-copy": Scenario(return_from_copy, ("leave", "join", "configuration")),
+    "leaving-header": Scenario(leave_unheard, ("join", "settings_change")),
 }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -126,6 +126,7 @@
         self.history = History(BOUNDS)
         self.store = Store(self.clock)
         self.ended = False
+        self.announces_leaving = False
         self.routes = {"look": Route("look", "desk", True, 1.5),
                        "post": Route("post", "desk", False, 2.0),
                        "list": Route("list", "view", True, 2.5)}
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -199,6 +199,34 @@
                                                     leaving=[("i-1", 15.0)],
                                                     outages=[Outage(16.0, 18.1)]))
 
+    def announced_leaving(self, at, **changes):
+        """vm-0 has passed on an answer with Server-Leaving at 10.1 s; a request follows."""
+        requests = [request(at=10.0, ended=10.1),
+                    request(id="q2", answer_id="q2", at=at, ended=at + 0.1, signature="s2",
+                            **changes.pop("second", {}))]
+        attempts = [attempt(at=10.02, leaving=True),
+                    attempt(id="q2", at=at + 0.02, signature="s2", leaving=True)]
+        return self.violated_rules(requests, attempts, **changes)
+
+    def test_request_after_the_bound_of_an_announced_leave(self):
+        self.assertEqual({"DRAIN"}, self.announced_leaving(12.2))
+
+    def test_request_after_an_announced_leave_while_the_store_is_away(self):
+        self.assertEqual({"DRAIN"}, self.announced_leaving(12.2, spans=[Span("store", 9.0, 20.0)]))
+
+    def test_request_after_an_announced_leave_from_a_vm_out_of_touch(self):
+        self.assertEqual({"DRAIN"}, self.announced_leaving(12.2, spans=[Span("vm-0", 9.0, 20.0)]))
+
+    def test_request_within_the_bound_of_an_announced_leave(self):
+        self.assertEqual(set(), self.announced_leaving(12.0))
+
+    def test_request_after_an_announced_leave_from_another_vm(self):
+        self.assertEqual(set(), self.announced_leaving(12.2, second={"vm": "vm-1"}))
+
+    def test_request_after_an_announced_leave_from_a_restarted_vm(self):
+        self.assertEqual(set(), self.announced_leaving(
+            12.2, spans=[Span("vm-0 process", 11.0, 11.5)]))
+
     def test_leaving_server_after_the_bound(self):
         self.expect_violation("DRAIN", [request()], [attempt()], leaving=[("i-1", 17.0)])
 
