Soak: servers that turn requests away for a time

A server that answers 503 with Retry-After wants nothing from that VM for so long.

In the scenario "retry-after" (off without the option) servers answer a third or all of the requests with 503, Not-Executed: 1 and Retry-After of 0.8 to 3 s, with fractions, for 1 to 5 s. Check: between 0.5 s after such an answer and the end of that time at most two requests from that VM reach the server; a restart, pause or cut of the VM, or a disturbance of the server's link, excuses it.

Four histories in test_checker.py; without the check the bad one fails.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -114,6 +114,11 @@
             return await self.send_refusal(request, writer, "421 Misdirected Request")
         misbehaves = self.fault and self.testbed.random.random() < self.fault_share
         fault = self.fault if misbehaves else None
+        if fault == "turn_away":
+            attempt.retry_after = round(self.testbed.random.uniform(0.8, 3.0), 2)
+            attempt.refused_at = self.testbed.clock()
+            return await self.send_refusal(request, writer, "503 Service Unavailable",
+                                           [("Retry-After", str(attempt.retry_after))])
         if fault == "refuse" or self.waiting >= 2 * self.slots:
             return await self.send_refusal(request, writer, "503 Service Unavailable")
         self.waiting += 1
@@ -137,10 +142,10 @@
         await writer.drain()
         return True
 
-    async def send_refusal(self, request, writer, status):
+    async def send_refusal(self, request, writer, status, headers=()):
         writer.write(http1.encode_message(f"HTTP/1.1 {status}", [
             ("Request-Id", request.get_header("request-id")), ("Not-Executed", "1"),
-            *self.common_headers()]))
+            *headers, *self.common_headers()]))
         await writer.drain()
         return True
 
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -12,6 +12,9 @@
 MIN_JUDGED_REQUESTS = 20
 # Requests of one VM that may end with a cut connection although nothing was disturbed.
 MAX_CUT_REQUESTS = 3
+# How long a VM may take to heed Retry-After, and how many requests a server may get after that.
+RETRY_AFTER_REACTION_S = 0.5
+MAX_TURNED_AWAY_REQUESTS = 2
 
 
 class Checker:
@@ -40,6 +43,7 @@
         self.check_configuration_order()
         self.check_leaving_servers()
         self.check_announced_leaving()
+        self.check_turned_away()
         self.check_cut_connections()
         self.check_retry_budget()
         self.check_process_ends()
@@ -230,6 +234,28 @@
                                             f"{request.vm} {late:.2f} s after the bound of its "
                                             "Server-Leaving")
 
+    def check_turned_away(self):
+        """A server that answered 503 with Retry-After gets at most two requests of that VM."""
+        received = collections.defaultdict(list)
+        for attempt in self.history.ran:
+            if attempt.id in self.requests_by_id:
+                vm = self.requests_by_id[attempt.id].vm
+                received[vm, attempt.server].append(attempt)
+        for (vm, server), attempts in received.items():
+            times = sorted(attempt.at for attempt in attempts)
+            for attempt in attempts:
+                begin = attempt.refused_at + RETRY_AFTER_REACTION_S
+                end = attempt.refused_at + attempt.retry_after
+                if begin >= end or not all(
+                        span.end < attempt.refused_at or span.begin > end
+                        for where in (vm, vm + " process", server) for span in self.spans[where]):
+                    continue
+                self.judged["turned away"] += 1
+                count = self.count_between(times, begin, end)
+                if count > MAX_TURNED_AWAY_REQUESTS:
+                    self.add_violation("BUDGET", f"{server} got {count} requests from {vm} within "
+                                                 f"the {attempt.retry_after:g} s of Retry-After")
+
     def check_cut_connections(self):
         """A request that an undisturbed server answered must not end with a cut connection."""
         cut_requests = collections.Counter()
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -56,6 +56,9 @@
     answered: bool = False
     # The answer had Server-Leaving.
     leaving: bool = False
+    # Seconds of Retry-After, and when the answer with it was written.
+    retry_after: float = 0.0
+    refused_at: float = 0.0
 
 
 @dataclasses.dataclass
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -119,6 +119,19 @@
         await testbed.add_server(server.service, server.address_index)
 
 
+async def turn_away(faults, limit):
+    """Servers answer requests with 503, Not-Executed and Retry-After."""
+    testbed = faults.testbed
+    while time.monotonic() < limit:
+        server = faults.choose_removable_server()
+        if server is not None:
+            server.fault = "turn_away"
+            server.fault_share = testbed.random.choice((0.3, 1.0))
+        await asyncio.sleep(testbed.random.uniform(1.0, 5.0))
+        if server is not None:
+            server.fault = None
+
+
 @dataclasses.dataclass(frozen=True)
 class Scenario:
     play: typing.Callable
@@ -130,4 +143,5 @@
     "growth": Scenario(grow_configuration, ("leave", "join", "crash")),
     "store-copy": Scenario(return_from_copy, ("leave", "join", "configuration")),
     "leaving-header": Scenario(leave_unheard, ("join", "settings_change")),
+    "retry-after": Scenario(turn_away, ("join", "leave", "settings_change")),
 }
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -227,6 +227,30 @@
         self.assertEqual(set(), self.announced_leaving(
             12.2, spans=[Span("vm-0 process", 11.0, 11.5)]))
 
+    def turned_away(self, times, **changes):
+        """i-1 refuses a request of vm-0 at 10 s with Retry-After 2.5 and gets more at the times."""
+        requests = [request(at=9.9, ended=10.1, status=503, signature="")]
+        attempts = [attempt(at=9.95, executed=False, signature="", retry_after=2.5,
+                            refused_at=10.0)]
+        for number, at in enumerate(times):
+            requests.append(request(id=f"r{number}", answer_id=f"r{number}", at=at, ended=at + 0.1,
+                                    signature=f"t{number}", **changes.get("others", {})))
+            attempts.append(attempt(id=f"r{number}", at=at, signature=f"t{number}"))
+        return self.violated_rules(requests, attempts, spans=changes.get("spans", []))
+
+    def test_three_requests_to_a_server_that_turned_one_away(self):
+        self.assertEqual({"BUDGET"}, self.turned_away([10.6, 11.0, 12.4]))
+
+    def test_two_requests_to_a_server_that_turned_one_away(self):
+        self.assertEqual(set(), self.turned_away([10.1, 10.4, 10.6, 12.4, 12.6, 12.7]))
+
+    def test_requests_of_another_vm_to_a_server_that_turned_one_away(self):
+        self.assertEqual(set(), self.turned_away([10.6, 11.0, 12.4], others={"vm": "vm-1"}))
+
+    def test_requests_of_a_cut_vm_to_a_server_that_turned_one_away(self):
+        self.assertEqual(set(), self.turned_away([10.6, 11.0, 12.4],
+                                                 spans=[Span("vm-0", 10.2, 10.3)]))
+
     def test_leaving_server_after_the_bound(self):
         self.expect_violation("DRAIN", [request()], [attempt()], leaving=[("i-1", 17.0)])
 
