--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import math
 
 
 def digest(body):
@@ -53,6 +54,29 @@
     answer: str = ""
     # The server wrote the complete answer, and no fault truncated it.
     answered: bool = False
+    # The answer had Server-Leaving.
+    leaving: bool = False
+    # Seconds of Retry-After, and when the answer with it was written.
+    retry_after: float = 0.0
+    refused_at: float = 0.0
+
+
+@dataclasses.dataclass
+class SlowLink:
+    """Time during which the link between a VM and the store had a limited rate."""
+
+    vm: str
+    begin: float
+    end: float
+    bytes_per_s: float
+
+
+@dataclasses.dataclass
+class Outage:
+    """From the store's failure until all that its older copy lacked was written again."""
+
+    begin: float
+    end: float = math.inf
 
 
 @dataclasses.dataclass
@@ -75,6 +99,11 @@
     leaving: list = dataclasses.field(default_factory=list)
     # (acknowledged at, {route: {services}}) in the order of the configuration versions
     versions: list = dataclasses.field(default_factory=list)
+    # (acknowledged at, bytes) of configuration versions
+    version_bytes: list = dataclasses.field(default_factory=list)
+    slow_links: list = dataclasses.field(default_factory=list)
+    # Returns of the store from an older copy, in order
+    outages: list = dataclasses.field(default_factory=list)
     # Planned stops: (vm, SIGTERM sent at)
     stops: list = dataclasses.field(default_factory=list)
     # Planned stops that the process did not end by itself, or without its last log line: (vm, SIGTERM
@@ -84,3 +113,11 @@
     ends: list = dataclasses.field(default_factory=list)
     # Times at which all VMs were ready again after a kill of all
     returns: list = dataclasses.field(default_factory=list)
+
+    def due(self, at, bound):
+        """When a bound on what was acknowledged at a time is over; an outage begins it anew."""
+        due = at + bound
+        for outage in self.outages:
+            if outage.begin < due and at < outage.end:
+                due = max(due, outage.end + bound)
+        return due
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -3,7 +3,7 @@
 import unittest
 
 from checker import Checker
-from history import Attempt, History, SentRequest, Span
+from history import Attempt, History, Outage, SentRequest, SlowLink, Span
 
 BOUNDS = {"grace": 6.0, "drain": 2.0, "config": 2.0, "stability_window": 3.0, "recovery": 15.0,
           "budget_ratio": 0.2, "budget_window": 10.0, "budget_slack": 2}
@@ -127,6 +127,130 @@
     def test_not_found_for_a_configured_route(self):
         self.expect_violation("CONFIG", [request(status=404, signature="")], [])
 
+    def grown_configuration(self, at, slow_links):
+        """The route "grown" is added at 10 s; its version takes 1.5 s on a link of 100 kB/s."""
+        versions = [(0.0, {"look": {"desk"}}), (10.0, {"look": {"desk"}, "grown": {"desk"}})]
+        refused = request(route="grown", status=404, signature="", at=at, ended=at + 0.1)
+        return self.violated_rules([refused], [], versions=versions, slow_links=slow_links,
+                                   version_bytes=[(0.0, 1000), (10.0, 150000)])
+
+    def test_added_route_unknown_after_the_time_on_a_slow_link(self):
+        self.assertEqual({"CONFIG"},
+                         self.grown_configuration(13.6, [SlowLink("vm-0", 5.0, 30.0, 100e3)]))
+
+    def test_added_route_unknown_within_the_time_on_a_slow_link(self):
+        self.assertEqual(set(),
+                         self.grown_configuration(13.4, [SlowLink("vm-0", 5.0, 30.0, 100e3)]))
+
+    def test_added_route_unknown_at_a_vm_with_a_fast_link(self):
+        self.assertEqual({"CONFIG"},
+                         self.grown_configuration(12.1, [SlowLink("vm-1", 5.0, 30.0, 100e3)]))
+
+    def test_added_route_unknown_after_a_slow_link_became_fast(self):
+        self.assertEqual({"CONFIG"},
+                         self.grown_configuration(13.4, [SlowLink("vm-0", 5.0, 11.0, 100e3)]))
+
+    def moved_back(self, **changes):
+        """vm-0 acts on the version of 10 s, and at 11 s on the older one again."""
+        requests = [request(at=10.5, ended=10.6),
+                    request(id="q2", answer_id="q2", at=11.0, ended=11.1, signature="s2")]
+        attempts = [attempt(service="view", at=10.52),
+                    attempt(id="q2", at=11.02, signature="s2")]
+        versions = [(0.0, {"look": {"desk"}}), (10.0, {"look": {"view"}})]
+        return self.violated_rules(requests, attempts, versions=versions, **changes)
+
+    def test_configuration_that_goes_back(self):
+        self.assertEqual({"CONFIG"}, self.moved_back())
+
+    def test_configuration_that_goes_back_during_an_outage(self):
+        self.assertEqual({"CONFIG"}, self.moved_back(outages=[Outage(10.2, 13.0)]))
+
+    def test_configuration_that_goes_back_in_a_restarted_vm(self):
+        self.assertEqual(set(), self.moved_back(spans=[Span("vm-0 process", 10.7, 10.9)]))
+
+    def test_route_that_is_unknown_again(self):
+        requests = [request(route="new", at=10.5, ended=10.6),
+                    request(id="q2", answer_id="q2", route="new", status=404, signature="",
+                            at=11.0, ended=11.1)]
+        versions = [(0.0, {"look": {"desk"}}), (10.0, {"new": {"desk"}})]
+        self.expect_violation("CONFIG", requests, [attempt(at=10.52)], versions=versions)
+
+    def test_older_configuration_after_an_outage(self):
+        versions = [(0.0, {"look": {"desk"}}), (10.0, {"look": {"view"}})]
+        self.expect_violation("CONFIG", [request()], [attempt()], versions=versions,
+                              outages=[Outage(11.0, 17.9)])
+
+    def test_older_configuration_within_the_bound_after_an_outage(self):
+        versions = [(0.0, {"look": {"desk"}}), (10.0, {"look": {"view"}})]
+        self.assertEqual(set(), self.violated_rules([request()], [attempt()], versions=versions,
+                                                    outages=[Outage(11.0, 18.1)]))
+
+    def test_older_configuration_at_an_outage_after_the_bound(self):
+        versions = [(0.0, {"look": {"desk"}}), (10.0, {"look": {"view"}})]
+        self.expect_violation("CONFIG", [request()], [attempt()], versions=versions,
+                              outages=[Outage(19.0, 22.0)])
+
+    def test_leaving_server_after_an_outage(self):
+        self.expect_violation("DRAIN", [request()], [attempt()], leaving=[("i-1", 15.0)],
+                              outages=[Outage(16.0, 17.9)])
+
+    def test_leaving_server_within_the_bound_after_an_outage(self):
+        self.assertEqual(set(), self.violated_rules([request()], [attempt()],
+                                                    leaving=[("i-1", 15.0)],
+                                                    outages=[Outage(16.0, 18.1)]))
+
+    def announced_leaving(self, at, **changes):
+        """vm-0 has passed on an answer with Server-Leaving at 10.1 s; a request follows."""
+        requests = [request(at=10.0, ended=10.1),
+                    request(id="q2", answer_id="q2", at=at, ended=at + 0.1, signature="s2",
+                            **changes.pop("second", {}))]
+        attempts = [attempt(at=10.02, leaving=True),
+                    attempt(id="q2", at=at + 0.02, signature="s2", leaving=True)]
+        return self.violated_rules(requests, attempts, **changes)
+
+    def test_request_after_the_bound_of_an_announced_leave(self):
+        self.assertEqual({"DRAIN"}, self.announced_leaving(12.2))
+
+    def test_request_after_an_announced_leave_while_the_store_is_away(self):
+        self.assertEqual({"DRAIN"}, self.announced_leaving(12.2, spans=[Span("store", 9.0, 20.0)]))
+
+    def test_request_after_an_announced_leave_from_a_vm_out_of_touch(self):
+        self.assertEqual({"DRAIN"}, self.announced_leaving(12.2, spans=[Span("vm-0", 9.0, 20.0)]))
+
+    def test_request_within_the_bound_of_an_announced_leave(self):
+        self.assertEqual(set(), self.announced_leaving(12.0))
+
+    def test_request_after_an_announced_leave_from_another_vm(self):
+        self.assertEqual(set(), self.announced_leaving(12.2, second={"vm": "vm-1"}))
+
+    def test_request_after_an_announced_leave_from_a_restarted_vm(self):
+        self.assertEqual(set(), self.announced_leaving(
+            12.2, spans=[Span("vm-0 process", 11.0, 11.5)]))
+
+    def turned_away(self, times, **changes):
+        """i-1 refuses a request of vm-0 at 10 s with Retry-After 2.5 and gets more at the times."""
+        requests = [request(at=9.9, ended=10.1, status=503, signature="")]
+        attempts = [attempt(at=9.95, executed=False, signature="", retry_after=2.5,
+                            refused_at=10.0)]
+        for number, at in enumerate(times):
+            requests.append(request(id=f"r{number}", answer_id=f"r{number}", at=at, ended=at + 0.1,
+                                    signature=f"t{number}", **changes.get("others", {})))
+            attempts.append(attempt(id=f"r{number}", at=at, signature=f"t{number}"))
+        return self.violated_rules(requests, attempts, spans=changes.get("spans", []))
+
+    def test_three_requests_to_a_server_that_turned_one_away(self):
+        self.assertEqual({"BUDGET"}, self.turned_away([10.6, 11.0, 12.4]))
+
+    def test_two_requests_to_a_server_that_turned_one_away(self):
+        self.assertEqual(set(), self.turned_away([10.1, 10.4, 10.6, 12.4, 12.6, 12.7]))
+
+    def test_requests_of_another_vm_to_a_server_that_turned_one_away(self):
+        self.assertEqual(set(), self.turned_away([10.6, 11.0, 12.4], others={"vm": "vm-1"}))
+
+    def test_requests_of_a_cut_vm_to_a_server_that_turned_one_away(self):
+        self.assertEqual(set(), self.turned_away([10.6, 11.0, 12.4],
+                                                 spans=[Span("vm-0", 10.2, 10.3)]))
+
     def test_leaving_server_after_the_bound(self):
         self.expect_violation("DRAIN", [request()], [attempt()], leaving=[("i-1", 17.0)])
 
