Store answers carry the pair of era and offset

After a return from a copy the store gives offsets out again; its header Store-Era counts these returns. The client ignored it, so nothing could tell the offset 90 of one history from that of another.

fleet::Position is the ordered pair; the header is decoded once, in platform/store_client, for every kind of answer: records, pages of a listing, 410 and 503. Without the header the era is 0.

The fake store returns from a copy on demand, and answers 410 to a read from an offset that it does not have, as the protocol says.

Evidence: with the header unread (decodeEra("") in handleReply), StoreClient.EveryKindOfAnswerTellsTheErasNumber and AnAnswerWithAMalformedEraIsRefused fail; with it they pass.

--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "vanillahill/core/time.hpp"
+#include "vanillahill/fleet/position.hpp"
 
 #include <algorithm>
 #include <array>
@@ -11,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace vanillahill::fleet {
@@ -19,6 +21,11 @@
 enum class Stream : std::uint8_t { Configuration, Servers };
 inline constexpr std::size_t StreamCount = 2;
 
+/// \brief Name of a stream in logs.
+inline std::string_view toString(Stream Which) {
+  return Which == Stream::Configuration ? "configuration" : "servers";
+}
+
 /// One record of a stream.
 struct Record {
   std::string m_Key;
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -20,8 +20,8 @@
 
 /// Result of a read of the store.
 struct StoreRead {
-  /// Offset at which the next read starts.
-  std::uint64_t m_To = 0;
+  /// Position at which the next read starts.
+  fleet::Position m_To;
   std::vector<fleet::Record> m_Records;
   /// The records are a full snapshot: the newest record of every key.
   bool m_IsWhole = false;
@@ -32,6 +32,8 @@
   Error m_Error;
   /// The store no longer has the records from the requested position on.
   bool m_IsPositionLost = false;
+  /// Era that the store told with its last answer; 0 when it has told none.
+  std::uint64_t m_Era = 0;
 };
 
 using StoreResult = boost::system::result<StoreRead, StoreFailure>;
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -34,10 +34,6 @@
 /// A snapshot frame is sent again for this long, as many VMs may fetch it at once.
 constexpr Duration SnapshotLifetime = std::chrono::milliseconds(100);
 
-std::string_view toString(Stream Which) {
-  return Which == Stream::Configuration ? "configuration" : "servers";
-}
-
 } // namespace
 
 FleetClient::FleetClient(asio::io_context &Io, StoreAccess Store,
@@ -158,13 +154,14 @@
   const auto Previous = m_Follower.currentAt(Which);
   const auto KnownTo = m_Follower.knownTo(Which);
   const bool IsRange =
-      From && !Result->m_IsWhole && *From + Result->m_Records.size() == Result->m_To;
+      From && !Result->m_IsWhole && *From + Result->m_Records.size() == Result->m_To.m_Offset;
   fleet::RecordRange Range{
       .m_Stream = Which,
-      .m_From = IsRange ? *From : std::min(KnownTo.value_or(Result->m_To), Result->m_To),
-      .m_To = Result->m_To,
+      .m_From = IsRange ? *From
+                        : std::min(KnownTo.value_or(Result->m_To.m_Offset), Result->m_To.m_Offset),
+      .m_To = Result->m_To.m_Offset,
       .m_AskedAt = AskedAt};
-  if (m_Follower.readSucceeded(Which, Result->m_To, AskedAt, Now)) {
+  if (m_Follower.readSucceeded(Which, Result->m_To.m_Offset, AskedAt, Now)) {
     observe::log(LogLevel::Info, "store_regained", {});
   }
   recordCatalogCurrent(Previous, Now);
@@ -247,7 +244,7 @@
   }
   if (Which == Stream::Servers && (Read.m_IsWhole || ChangedCount > MaxServerLines)) {
     observe::log(LogLevel::Info, Read.m_IsWhole ? "servers_listed" : "servers_changed",
-                 {{"position", std::to_string(Read.m_To)},
+                 {{"position", toString(Read.m_To)},
                   {"records", std::to_string(Read.m_Records.size())},
                   {"changed", std::to_string(ChangedCount)},
                   {"servers", std::to_string(m_Catalog.serverCount())}});
@@ -411,8 +408,9 @@
     noteMissing(Ip, Message, Now);
   } else if (IsNew) {
     std::vector<bool> Ignored;
-    if (applyRecords(Message.m_Stream, {.m_To = Message.m_To, .m_Records = Message.m_Records},
-                     Ignored, Now)) {
+    if (applyRecords(Message.m_Stream,
+                     {.m_To = {.m_Offset = Message.m_To}, .m_Records = Message.m_Records}, Ignored,
+                     Now)) {
       publishSettings();
     }
   }
@@ -554,8 +552,9 @@
     const auto Previous = m_Follower.currentAt(Stream::Servers);
     m_Follower.adopt(Stream::Servers, Received.m_ServersPosition, AskedAt - Received.m_ServersAge);
     recordCatalogCurrent(Previous, Now);
-    StoreRead Listing{
-        .m_To = Received.m_ServersPosition, .m_Records = Received.m_Servers, .m_IsWhole = true};
+    StoreRead Listing{.m_To = {.m_Offset = Received.m_ServersPosition},
+                      .m_Records = Received.m_Servers,
+                      .m_IsWhole = true};
     addUnlisted(Listing);
     std::vector<bool> Ignored;
     Changed = applyRecords(Stream::Servers, Listing, Ignored, Now) || Changed;
--- a/tests/store_fake.hpp
+++ b/tests/store_fake.hpp
@@ -15,9 +15,11 @@
 /// Fault with which the store answers every call.
 enum class StoreFault { None, Answers503, SendsNoAnswer };
 
-inline std::string formatReply(const std::string &Status, const std::string &Body) {
-  return "HTTP/1.1 " + Status + "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
-         Body;
+/// \param Headers further lines of the head, each with its line end
+inline std::string formatReply(const std::string &Status, const std::string &Body,
+                               const std::string &Headers = {}) {
+  return "HTTP/1.1 " + Status + "\r\n" + Headers +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
 template <typename T> std::string encodeBigEndian(T Value) {
@@ -51,6 +53,20 @@
     m_Topics[Name].m_First = m_Topics[Name].m_Records.size();
   }
 
+  /// Returns from a copy that lacks the newest records of a topic, in the next era.
+  void returnFromCopy(const std::string &Name, std::size_t LostRecords) {
+    const std::lock_guard Lock(m_Mutex);
+    auto &Records = m_Topics[Name].m_Records;
+    Records.resize(Records.size() - std::min(Records.size(), LostRecords));
+    ++m_Era;
+  }
+
+  /// Each answer gets this value as its Store-Era header in place of the era's number.
+  void setEraText(std::string Text) {
+    const std::lock_guard Lock(m_Mutex);
+    m_EraText = std::move(Text);
+  }
+
   void setFault(StoreFault Fault) { m_Fault = Fault; }
   int callCount() const { return m_CallCount; }
 
@@ -79,20 +95,26 @@
     if (m_Fault == StoreFault::SendsNoAnswer) {
       return {};
     }
-    if (m_Fault == StoreFault::Answers503) {
-      return formatReply("503 Service Unavailable", "");
-    }
     const std::string Target(Request.target());
     const std::lock_guard Lock(m_Mutex);
+    std::string EraHeader;
+    if (!m_EraText.empty() || m_Era > 0) {
+      EraHeader = "Store-Era: " + (m_EraText.empty() ? std::to_string(m_Era) : m_EraText) + "\r\n";
+    }
+    if (m_Fault == StoreFault::Answers503) {
+      return formatReply("503 Service Unavailable", "", EraHeader);
+    }
     const Topic &Wanted = m_Topics[queryParameter(Target, "topic")];
     if (Target.starts_with("/-/log-newest")) {
-      return formatReply("200 OK", encodeNewestPage(Wanted, queryParameter(Target, "after")));
+      return formatReply("200 OK", encodeNewestPage(Wanted, queryParameter(Target, "after")),
+                         EraHeader);
     }
     const auto From = std::stoull(queryParameter(Target, "from"));
-    if (From < Wanted.m_First) {
-      return formatReply("410 Gone", "{\"first\":" + std::to_string(Wanted.m_First) + "}");
+    if (From < Wanted.m_First || From > Wanted.m_Records.size()) {
+      return formatReply("410 Gone", "{\"first\":" + std::to_string(Wanted.m_First) + "}",
+                         EraHeader);
     }
-    return formatReply("200 OK", encodeRecords(Wanted, From));
+    return formatReply("200 OK", encodeRecords(Wanted, From), EraHeader);
   }
 
   static std::string encodeRecords(const Topic &Wanted, std::uint64_t From) {
@@ -150,6 +172,8 @@
 
   std::mutex m_Mutex;
   std::map<std::string, Topic> m_Topics;
+  std::uint64_t m_Era = 0;
+  std::string m_EraText;
   std::atomic<StoreFault> m_Fault = StoreFault::None;
   std::atomic<int> m_CallCount = 0;
   net::fakes::Backend m_Server;
--- a/tests/unit-fleet-client.cpp
+++ b/tests/unit-fleet-client.cpp
@@ -17,13 +17,13 @@
 
   StoreResult read(Stream Which, std::optional<std::uint64_t> From) {
     if (Which == Stream::Configuration) {
-      return StoreRead{.m_To = 1, .m_Records = {{"config", "1"}}, .m_IsWhole = !From};
+      return StoreRead{.m_To = {.m_Offset = 1}, .m_Records = {{"config", "1"}}, .m_IsWhole = !From};
     }
     if (From && *From < m_FirstKept) {
       return StoreFailure{.m_Error = {Errc::LogUnavailable, "read", "", "deleted"},
                           .m_IsPositionLost = true};
     }
-    StoreRead Read{.m_To = m_Servers.size(), .m_IsWhole = !From};
+    StoreRead Read{.m_To = {.m_Offset = m_Servers.size()}, .m_IsWhole = !From};
     if (From) {
       Read.m_Records.assign(m_Servers.begin() + static_cast<std::ptrdiff_t>(*From),
                             m_Servers.end());
--- a/tests/unit-platform-decode.cpp
+++ b/tests/unit-platform-decode.cpp
@@ -173,6 +173,7 @@
   decodeServer("id", Text);
   decodeReadBody(Text);
   decodeNewestPage(Text, After);
+  decodeEra(Text);
   decodeDuration(Text);
   decodeLoad(Text);
 }
@@ -189,5 +190,27 @@
   }
 }
 
+/// The header's value is sent by another process and may be anything.
+RC_GTEST_PROP(PlatformDecode, AnEraIsDecodedOnlyFromADecimalNumber,
+              (std::uint64_t Era, std::string Text)) {
+  const auto Decoded = decodeEra(std::to_string(Era));
+  RC_ASSERT(Decoded.has_value());
+  RC_ASSERT(*Decoded == Era);
+  const bool IsNumber =
+      std::all_of(Text.begin(), Text.end(), [](char Byte) { return Byte >= '0' && Byte <= '9'; });
+  constexpr std::size_t SafeDigits = 19;
+  if (!IsNumber || Text.size() <= SafeDigits) {
+    RC_ASSERT(decodeEra(Text).has_value() == IsNumber);
+  }
+}
+
+TEST(PlatformDecode, AnEraBeyondTheLargestNumberIsRefused) {
+  EXPECT_EQ(decodeEra("18446744073709551615").value(), UINT64_MAX);
+  EXPECT_FALSE(decodeEra("18446744073709551616"));
+  EXPECT_FALSE(decodeEra(" 1"));
+  EXPECT_FALSE(decodeEra("-1"));
+  EXPECT_EQ(decodeEra("").value(), 0U);
+}
+
 } // namespace
 } // namespace vanillahill::wire
--- a/tests/unit-store-client.cpp
+++ b/tests/unit-store-client.cpp
@@ -67,11 +67,12 @@
   return formatReply("200 OK", Body);
 }
 
-StoreResult readConfiguration(const std::string &Address) {
+StoreResult readStore(const std::string &Address, fleet::Stream Source,
+                      std::optional<std::uint64_t> From) {
   net::asio::io_context Io{1};
   const auto Store = std::make_shared<StoreClient>(Io, Address);
   std::optional<StoreResult> Result;
-  Store->readStream(fleet::Stream::Configuration, 0, [&](StoreResult Read) {
+  Store->readStream(Source, From, [&](StoreResult Read) {
     Result.emplace(std::move(Read));
     Store->close();
   });
@@ -79,6 +80,10 @@
   return std::move(*Result);
 }
 
+StoreResult readConfiguration(const std::string &Address) {
+  return readStore(Address, fleet::Stream::Configuration, 0);
+}
+
 /// A configuration of thousands of routes takes longer than a second on a link of 10 Mbit/s. Reads
 /// of it were dropped after a fixed time and repeated from the start, so that they never ended.
 TEST(StoreClient, ALargeRecordThatKeepsArrivingIsReadToItsEnd) {
@@ -90,5 +95,42 @@
   EXPECT_EQ(Read->m_Records[0].m_Value->size(), ValueBytes);
 }
 
+/// Without the era, an offset that was given out again names another record than before.
+TEST(StoreClient, EveryKindOfAnswerTellsTheErasNumber) {
+  FakeStore Store;
+  for (const char *Key : {"s1", "s2", "s3", "s4"}) {
+    Store.put("keyed.servers", Key, "x");
+  }
+  const auto Before = readStore(Store.address(), fleet::Stream::Servers, 0);
+  ASSERT_TRUE(Before);
+  EXPECT_EQ(Before->m_To, (fleet::Position{.m_Era = 0, .m_Offset = 4})) << "no header";
+  Store.returnFromCopy("keyed.servers", 1);
+  const auto Records = readStore(Store.address(), fleet::Stream::Servers, 0);
+  ASSERT_TRUE(Records);
+  EXPECT_EQ(Records->m_To, (fleet::Position{.m_Era = 1, .m_Offset = 3}));
+  const auto Listing = readStore(Store.address(), fleet::Stream::Servers, std::nullopt);
+  ASSERT_TRUE(Listing);
+  EXPECT_EQ(Listing->m_To, (fleet::Position{.m_Era = 1, .m_Offset = 3}));
+  EXPECT_EQ(Listing->m_Records.size(), 3U);
+  const auto Lost = readStore(Store.address(), fleet::Stream::Servers, 4);
+  ASSERT_FALSE(Lost);
+  EXPECT_TRUE(Lost.error().m_IsPositionLost);
+  EXPECT_EQ(Lost.error().m_Era, 1U);
+  Store.setFault(StoreFault::Answers503);
+  const auto Refused = readStore(Store.address(), fleet::Stream::Servers, 0);
+  ASSERT_FALSE(Refused);
+  EXPECT_EQ(Refused.error().m_Era, 1U);
+}
+
+/// An era that can't be read must not count as an earlier one.
+TEST(StoreClient, AnAnswerWithAMalformedEraIsRefused) {
+  FakeStore Store;
+  Store.put("keyed.servers", "s1", "x");
+  Store.setEraText("2x");
+  const auto Read = readStore(Store.address(), fleet::Stream::Servers, 0);
+  ASSERT_FALSE(Read);
+  EXPECT_EQ(Read.error().m_Error.m_Code, Errc::RecordMalformed);
+}
+
 } // namespace
 } // namespace vanillahill::wire::fakes
