--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -5,6 +5,7 @@
 
 #include "vanillahill/core/time.hpp"
 #include "vanillahill/fleet/position.hpp"
+#include "vanillahill/fleet/snapshot_request.hpp"
 
 #include <algorithm>
 #include <array>
@@ -13,6 +14,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace vanillahill::fleet {
@@ -33,13 +35,14 @@
   std::optional<std::string> m_Value;
 };
 
-/// Consecutive records of one stream.
+/// Consecutive records of one stream; or, when the range begins in an earlier era than it ends, the
+/// difference between what was known at its begin and a listing.
 struct RecordRange {
   Stream m_Stream = Stream::Configuration;
-  /// Offset of the first record.
-  std::uint64_t m_From = 0;
-  /// Offset behind the last record.
-  std::uint64_t m_To = 0;
+  /// Position of the first record.
+  Position m_From;
+  /// Position behind the last record.
+  Position m_To;
   /// When the read was sent: the range holds everything that the store had acknowledged by then.
   TimePoint m_AskedAt{};
   std::vector<Record> m_Records;
@@ -88,8 +91,8 @@
   void setFleetSize(std::size_t Vms) { m_FleetSize = Vms; }
 
   /// \brief Where the part of a range begins that no VM is known to have announced.
-  /// \return the offset of its first record; the end of the range when all was announced
-  std::uint64_t untoldFrom(const RecordRange &Range) const;
+  /// \return the position of its first record; the end of the range when all was announced
+  Position untoldFrom(const RecordRange &Range) const;
 
   /// \brief Records that a range was announced to all other VMs.
   void told(const RecordRange &Range);
@@ -113,38 +116,63 @@
   /// \brief When nextRead() should be called next; max() while a read runs.
   TimePoint nextTimer() const;
 
-  /// \brief Offset at which the next read of a stream begins; nothing when a listing with the
+  /// \brief Position at which the next read of a stream begins; nothing when a listing with the
   /// newest record of every key is to be read instead.
-  std::optional<std::uint64_t> position(Stream Which) const;
+  std::optional<Position> position(Stream Which) const;
 
-  /// \brief Offset up to which the records of a stream are known; nothing before the first read.
-  std::optional<std::uint64_t> knownTo(Stream Which) const { return state(Which).m_Position; }
+  /// \brief Position up to which the records of a stream are known; nothing before the first read.
+  std::optional<Position> knownTo(Stream Which) const { return state(Which).m_Position; }
+
+  /// \brief The same for both streams; the first position before the first read.
+  SnapshotRequest known() const {
+    return {.m_ConfigurationTo = knownTo(Stream::Configuration).value_or(Position{}),
+            .m_ServersTo = knownTo(Stream::Servers).value_or(Position{})};
+  }
+
+  /// \brief Latest era that the store or another VM told.
+  std::uint64_t era() const { return m_Era; }
+
+  /// \brief Takes the era that the store told. In a new era the streams are listed at once.
+  void noteEra(std::uint64_t Era, TimePoint Now);
+
+  /// \brief Reports that a read was answered, before its records are used.
+  /// \param From where the read began; nothing for a listing
+  /// \param To where the next read begins
+  /// \return whether the records can be used: not when they are of an earlier era, or follow a
+  /// position of an earlier era. The read has then ended
+  bool answered(const std::optional<Position> &From, const Position &To, TimePoint Now);
+
+  /// \brief Whether this is the first report of something outdated in this era.
+  bool isFirstOutdated() { return !std::exchange(m_HasNotedOutdated, true); }
 
   /// \brief Reports that a read succeeded.
-  /// \param To offset at which the next read begins
+  /// \param To position at which the next read begins
   /// \param AskedAt when the read was sent
   /// \return whether the store had been unreachable until now
-  bool readSucceeded(Stream Which, std::uint64_t To, TimePoint AskedAt, TimePoint Now);
+  bool readSucceeded(Stream Which, const Position &To, TimePoint AskedAt, TimePoint Now);
 
   /// \brief Reports that a read failed.
   /// \param IsPositionLost the store no longer has the position: a listing is read next
   void readFailed(Stream Which, bool IsPositionLost, TimePoint Now);
 
-  /// \brief Takes the announcement of another VM. When records before the range are missing here,
-  /// a read of the stream becomes due as by readSoon().
-  /// \return whether the range holds new records and none is missing before it: the caller applies
-  /// the records
+  /// \brief Whether no record is missing between the known ones and those of a range.
+  bool reaches(const RecordRange &Range) const;
+
+  /// \brief Takes the announcement of another VM; one of an earlier era is ignored. When records
+  /// before the range are missing here, a read of the stream becomes due as by readSoon(). \return
+  /// whether the range holds new records and none is missing before it: the caller applies the
+  /// records
   bool heard(const RecordRange &Range, TimePoint Now);
 
   /// \brief Records that the content of a stream was received from another VM.
-  /// \param To offset up to which the content is complete
+  /// \param To position up to which the content is complete
   /// \param CurrentAt when that VM was last up to date
-  void adopt(Stream Which, std::uint64_t To, TimePoint CurrentAt);
+  void adopt(Stream Which, const Position &To, TimePoint CurrentAt);
 
   /// \brief Makes a read of a stream due soon: another VM announced records that are missing here.
   /// Until then, this VM may get them from another one.
-  /// \param To offset behind the last record
-  void readSoon(Stream Which, std::uint64_t To, TimePoint Now);
+  /// \param To position behind the last record
+  void readSoon(Stream Which, const Position &To, TimePoint Now);
 
   /// \brief Number of consecutive failed reads.
   std::uint32_t failures() const { return m_Failures; }
@@ -154,15 +182,15 @@
 
 private:
   struct StreamState {
-    std::optional<std::uint64_t> m_Position;
+    std::optional<Position> m_Position;
     /// The store no longer has the records from m_Position on.
     bool m_IsPositionLost = false;
     std::optional<TimePoint> m_CurrentAt;
     /// How long the last known read took, by this VM or another one.
     Duration m_ReadTime{};
     TimePoint m_NextReadAt{};
-    /// Offset up to which some VM announced the records to all others.
-    std::uint64_t m_AnnouncedTo = 0;
+    /// Position up to which some VM announced the records to all others.
+    Position m_AnnouncedTo;
   };
 
   StreamState &state(Stream Which) { return m_Streams[static_cast<std::size_t>(Which)]; }
@@ -170,11 +198,18 @@
     return m_Streams[static_cast<std::size_t>(Which)];
   }
   void scheduleRead(StreamState &State);
+  /// \return whether the era is new
+  bool hearEra(std::uint64_t Era);
 
   FollowerOptions m_Options;
   std::mt19937_64 m_Random;
   std::array<StreamState, StreamCount> m_Streams;
   std::optional<Stream> m_Reading;
+  /// Where the running or last read began; nothing for a listing.
+  std::optional<Position> m_ReadFrom;
+  std::uint64_t m_Era = 0;
+  /// Something of an earlier era was reported in this one.
+  bool m_HasNotedOutdated = false;
   std::uint32_t m_Failures = 0;
   std::size_t m_FleetSize = 1;
   /// Back-off after failed reads: no read starts before this time.
--- a/include/vanillahill/fleet/news.hpp
+++ b/include/vanillahill/fleet/news.hpp
@@ -38,8 +38,9 @@
   /// The receiver is to pass the message on to the VMs of its own data centre.
   bool m_IsForRelay = false;
   Stream m_Stream = Stream::Configuration;
-  std::uint64_t m_From = 0;
-  std::uint64_t m_To = 0;
+  /// Of the same era as m_To, or of an earlier one: see RecordRange.
+  Position m_From;
+  Position m_To;
   /// Time since the read was sent.
   Duration m_Age{};
   /// As far as the sender knows, records may have lapsed during an outage of the store; see
@@ -62,11 +63,11 @@
 /// The contents of the store as one VM knows them, for a VM that has not read the store or that the
 /// store does not answer. Too long for datagrams: VMs fetch it from each other over HTTP.
 struct Snapshot {
-  std::uint64_t m_ConfigurationPosition = 0;
+  Position m_ConfigurationPosition;
   /// Time since each stream was last known to be up to date.
   Duration m_ConfigurationAge{};
   std::string m_ConfigurationText;
-  std::uint64_t m_ServersPosition = 0;
+  Position m_ServersPosition;
   Duration m_ServersAge{};
   /// The newest record of every server.
   std::vector<Record> m_Servers;
--- a/include/vanillahill/fleet/peers.hpp
+++ b/include/vanillahill/fleet/peers.hpp
@@ -114,6 +114,10 @@
   /// \brief Number of VMs in the fleet, including this one.
   std::size_t fleetSize() const;
 
+  /// \brief Whether the fleet size differs by more than a fifth of the larger size from another
+  /// one, for which budget shares were computed.
+  bool hasSizeChanged(std::size_t Previous) const;
+
 private:
   /// Times at which a VM was last heard from are those of this VM or of the one that named it, so
   /// that a VM that is gone is forgotten although others may still name it.
--- a/include/vanillahill/fleet/position.hpp
+++ b/include/vanillahill/fleet/position.hpp
@@ -17,7 +17,13 @@
   /// Offset of the record within the era.
   std::uint64_t m_Offset = 0;
 
-  friend auto operator<=>(const Position &, const Position &) = default;
+  friend bool operator==(const Position &Left, const Position &Right) {
+    return Left.m_Era == Right.m_Era && Left.m_Offset == Right.m_Offset;
+  }
+  friend std::strong_ordering operator<=>(const Position &Left, const Position &Right) {
+    return Left.m_Era != Right.m_Era ? Left.m_Era <=> Right.m_Era
+                                     : Left.m_Offset <=> Right.m_Offset;
+  }
 };
 
 /// \brief The form used in logs and in requests between VMs: the era, a point, and the offset.
--- a/include/vanillahill/fleet/snapshot_request.hpp
+++ b/include/vanillahill/fleet/snapshot_request.hpp
@@ -2,17 +2,23 @@
 /// The request with which a VM fetches the snapshot of another one.
 #pragma once
 
-#include <cstdint>
+#include "vanillahill/fleet/position.hpp"
+
 #include <optional>
 #include <string>
 #include <string_view>
 
 namespace vanillahill::fleet {
 
-/// Asks for a snapshot that is complete up to the given offsets.
+/// Asks for a snapshot that is complete up to the given positions.
 struct SnapshotRequest {
-  std::uint64_t m_ConfigurationTo = 0;
-  std::uint64_t m_ServersTo = 0;
+  Position m_ConfigurationTo;
+  Position m_ServersTo;
+
+  /// \brief Whether content that is complete up to these positions satisfies another request.
+  bool covers(const SnapshotRequest &Other) const {
+    return m_ConfigurationTo >= Other.m_ConfigurationTo && m_ServersTo >= Other.m_ServersTo;
+  }
 };
 
 /// Path of the request's target.
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "vanillahill/fleet/catalog.hpp"
+#include "vanillahill/fleet/failure_throttle.hpp"
 #include "vanillahill/fleet/follower.hpp"
 #include "vanillahill/fleet/lapse_watch.hpp"
 #include "vanillahill/fleet/news.hpp"
@@ -94,14 +95,17 @@
 
   std::size_t fleetSize() const { return m_Peers.fleetSize(); }
   std::size_t serverCount() const { return m_Catalog.serverCount(); }
+  bool knows(std::string_view ServerId) const { return m_Catalog.has(ServerId); }
 
 private:
   void runDueTasks();
   void startTimer();
   void decideFirstReads(TimePoint Now);
-  void onRead(fleet::Stream Which, std::optional<std::uint64_t> From, TimePoint AskedAt,
+  void onRead(fleet::Stream Which, const std::optional<fleet::Position> &From, TimePoint AskedAt,
               StoreResult Result);
   void onReadFailed(fleet::Stream Which, const StoreFailure &Failed, TimePoint Now);
+  void noteEra();
+  void logOutdated(std::string_view Source, std::uint64_t Era);
   void recordCatalogCurrent(std::optional<TimePoint> Previous, TimePoint Now);
   bool applyRecords(fleet::Stream Which, const StoreRead &Read, std::vector<bool> &ShouldAnnounce,
                     TimePoint Now);
@@ -130,12 +134,10 @@
                      TimePoint Now);
 
   fleet::VmInfo selfInfo() const;
-  bool hasFleetSizeChanged() const;
   void logFleetSize();
   void sendDueHellos();
   void sendHello(const std::string &Ip, bool AsksForPeers);
   void send(std::span<const std::string> Ips, const fleet::News &Message);
-  bool mayAnnounceFailure(ServerId Server, TimePoint Now);
 
   StoreAccess m_Store;
   std::shared_ptr<Datagrams> m_DatagramSocket;
@@ -144,6 +146,8 @@
   fleet::Catalog m_Catalog;
   fleet::Follower m_Follower;
   fleet::LapseWatch m_Lapse;
+  /// Era of the store that was last logged.
+  std::uint64_t m_Era = 0;
   fleet::Peers m_Peers;
   fleet::PieceCollector m_Pieces;
   /// The texts of the configuration in force and of the newest record of each server, as read from
@@ -153,12 +157,12 @@
   /// Number of the last message that was packed for sending, which may be split into pieces.
   std::uint64_t m_LastSplitMessage = 0;
   std::mt19937_64 m_Random;
-  /// Last frame that snapshotFrame() made, up to which offsets, and when.
+  /// Last frame that snapshotFrame() made, up to which positions, and when.
   std::string m_SnapshotFrame;
-  fleet::SnapshotRequest m_SnapshotOffsets;
+  fleet::SnapshotRequest m_SnapshotPositions;
   TimePoint m_SnapshotMadeAt{};
   bool m_IsFetching = false;
-  /// Offsets up to which other VMs announced records that are missing here.
+  /// Positions up to which other VMs announced records that are missing here.
   fleet::SnapshotRequest m_Wanted;
   /// VM that announced the last ones.
   std::string m_Announcer;
@@ -173,8 +177,7 @@
   std::size_t m_SettingsFleetSize = 1;
   /// Fleet size in the last log line about it.
   std::size_t m_LoggedFleetSize = 1;
-  /// When a failure of each server was last announced.
-  std::map<ServerId, TimePoint> m_FailureAnnouncedAt;
+  fleet::FailureThrottle m_FailureThrottle;
   bool m_Closed = false;
 };
 
--- /dev/null
+++ b/src/fleet/announcement.cpp
@@ -0,0 +1,33 @@
+#include "vanillahill/fleet/announcement.hpp"
+
+#include <algorithm>
+
+namespace vanillahill::fleet {
+
+RecordRange CompletedRead::range() const {
+  return {.m_Stream = m_Stream,
+          .m_From = isConsecutive() ? *m_From : std::min(m_KnownTo.value_or(m_To), m_To),
+          .m_To = m_To,
+          .m_AskedAt = m_AskedAt};
+}
+
+StoreNews announcementOf(const CompletedRead &Read, const Follower &Reader,
+                         std::vector<Record> &Records, const std::vector<bool> &ShouldAnnounce) {
+  const RecordRange Range = Read.range();
+  StoreNews Announcement{.m_Stream = Range.m_Stream, .m_From = Range.m_From, .m_To = Range.m_To};
+  std::size_t First = 0;
+  if (Read.isConsecutive()) {
+    Announcement.m_From = Reader.untoldFrom(Range);
+    First = Announcement.m_From.m_Offset - Range.m_From.m_Offset;
+  } else if (!Read.m_KnownTo) {
+    First = ShouldAnnounce.size();
+  }
+  for (std::size_t Index = First; Index < ShouldAnnounce.size(); ++Index) {
+    if (ShouldAnnounce[Index]) {
+      Announcement.m_Records.push_back(std::move(Records[Index]));
+    }
+  }
+  return Announcement;
+}
+
+} // namespace vanillahill::fleet
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -19,6 +19,7 @@
     }
   }
   m_Reading = Next;
+  m_ReadFrom = Next ? position(*Next) : std::nullopt;
   return Next;
 }
 
@@ -33,9 +34,42 @@
   return std::max(Next, m_PausedUntil);
 }
 
-std::optional<std::uint64_t> Follower::position(Stream Which) const {
+std::optional<Position> Follower::position(Stream Which) const {
   const StreamState &State = state(Which);
-  return State.m_IsPositionLost ? std::nullopt : State.m_Position;
+  const bool IsLost =
+      State.m_IsPositionLost || (State.m_Position && State.m_Position->m_Era < m_Era);
+  return IsLost ? std::nullopt : State.m_Position;
+}
+
+bool Follower::hearEra(std::uint64_t Era) {
+  if (Era <= m_Era) {
+    return false;
+  }
+  m_Era = Era;
+  m_HasNotedOutdated = false;
+  return true;
+}
+
+void Follower::noteEra(std::uint64_t Era, TimePoint Now) {
+  if (!hearEra(Era)) {
+    return;
+  }
+  for (StreamState &State : m_Streams) {
+    State.m_NextReadAt = std::min(State.m_NextReadAt, Now);
+  }
+}
+
+bool Follower::answered(const std::optional<Position> &From, const Position &To, TimePoint Now) {
+  noteEra(To.m_Era, Now);
+  const bool IsOutdated = To.m_Era < m_Era;
+  if (!IsOutdated && (!From || From->m_Era == m_Era)) {
+    return true;
+  }
+  m_Reading.reset();
+  if (IsOutdated) {
+    pauseUntil(Now + InitialBackoff);
+  }
+  return false;
 }
 
 void Follower::spreadFirstReads(std::size_t LocalVms, TimePoint Now) {
@@ -53,10 +87,13 @@
                      [](const StreamState &State) { return State.m_Position.has_value(); });
 }
 
-bool Follower::readSucceeded(Stream Which, std::uint64_t To, TimePoint AskedAt, TimePoint Now) {
+bool Follower::readSucceeded(Stream Which, const Position &To, TimePoint AskedAt, TimePoint Now) {
   m_Reading.reset();
+  noteEra(To.m_Era, Now);
   StreamState &State = state(Which);
-  State.m_Position = std::max(State.m_Position.value_or(0), To);
+  // After a lost position a lower one is valid, too: a store that tells no era may have gone back.
+  State.m_Position =
+      State.m_IsPositionLost ? To : std::max(State.m_Position.value_or(Position{}), To);
   State.m_IsPositionLost = false;
   State.m_CurrentAt = std::max(State.m_CurrentAt.value_or(AskedAt), AskedAt);
   State.m_ReadTime = Now - AskedAt;
@@ -69,8 +106,12 @@
 void Follower::readFailed(Stream Which, bool IsPositionLost, TimePoint Now) {
   m_Reading.reset();
   if (IsPositionLost) {
-    state(Which).m_IsPositionLost = true;
-    state(Which).m_NextReadAt = Now;
+    StreamState &State = state(Which);
+    // The position of a later era, which another VM may have told since, is not lost.
+    if (!m_ReadFrom || !State.m_Position || m_ReadFrom->m_Era == State.m_Position->m_Era) {
+      State.m_IsPositionLost = true;
+      State.m_NextReadAt = Now;
+    }
     return;
   }
   ++m_Failures;
@@ -81,10 +122,25 @@
   m_PausedUntil = Now + std::chrono::duration_cast<Duration>(Backoff * Spread(m_Random));
 }
 
+bool Follower::reaches(const RecordRange &Range) const {
+  const auto &Known = state(Range.m_Stream).m_Position;
+  if (!Known || *Known >= Range.m_To) {
+    return Known.has_value();
+  }
+  // A difference between eras holds only for a VM that knew the same as the one that made it.
+  return Range.m_From.m_Era == Range.m_To.m_Era
+             ? Known->m_Era == Range.m_From.m_Era && *Known >= Range.m_From
+             : *Known == Range.m_From;
+}
+
 bool Follower::heard(const RecordRange &Range, TimePoint Now) {
+  if (Range.m_To.m_Era < m_Era) {
+    return false;
+  }
+  hearEra(Range.m_To.m_Era);
   StreamState &State = state(Range.m_Stream);
   State.m_AnnouncedTo = std::max(State.m_AnnouncedTo, Range.m_To);
-  if (!State.m_Position || *State.m_Position < Range.m_From) {
+  if (!reaches(Range)) {
     // Records between the position and the range are missing.
     readSoon(Range.m_Stream, Range.m_To, Now);
     return false;
@@ -102,11 +158,12 @@
   return IsNew;
 }
 
-void Follower::adopt(Stream Which, std::uint64_t To, TimePoint CurrentAt) {
+void Follower::adopt(Stream Which, const Position &To, TimePoint CurrentAt) {
   StreamState &State = state(Which);
-  if (State.m_Position && *State.m_Position > To) {
+  if (To.m_Era < m_Era || (State.m_Position && *State.m_Position > To)) {
     return;
   }
+  hearEra(To.m_Era);
   State.m_Position = To;
   State.m_IsPositionLost = false;
   if (!State.m_CurrentAt || CurrentAt > *State.m_CurrentAt) {
@@ -115,16 +172,16 @@
   }
 }
 
-void Follower::readSoon(Stream Which, std::uint64_t To, TimePoint Now) {
+void Follower::readSoon(Stream Which, const Position &To, TimePoint Now) {
   StreamState &State = state(Which);
   State.m_AnnouncedTo = std::max(State.m_AnnouncedTo, To);
-  if (State.m_Position.value_or(0) < To) {
+  if (State.m_Position.value_or(Position{}) < To) {
     const auto FetchTime = std::chrono::duration_cast<Duration>(m_Options.m_Bound * FetchTimeShare);
     State.m_NextReadAt = std::min(State.m_NextReadAt, Now + FetchTime);
   }
 }
 
-std::uint64_t Follower::untoldFrom(const RecordRange &Range) const {
+Position Follower::untoldFrom(const RecordRange &Range) const {
   return std::clamp(state(Range.m_Stream).m_AnnouncedTo, Range.m_From, Range.m_To);
 }
 
--- a/src/fleet/news.cpp
+++ b/src/fleet/news.cpp
@@ -15,7 +15,7 @@
 
 using Json = nlohmann::json;
 
-constexpr int FormatVersion = 2;
+constexpr int FormatVersion = 3;
 /// Space for the fields of a Piece other than its bytes.
 constexpr std::size_t EnvelopeBytes = 64;
 constexpr std::size_t PieceBytes = MaxDatagramBytes - EnvelopeBytes;
@@ -118,6 +118,12 @@
   return std::chrono::microseconds(Micros);
 }
 
+Json encodePosition(const Position &Shown) { return Json::array({Shown.m_Era, Shown.m_Offset}); }
+
+Position decodePosition(const Json &Value) {
+  return {.m_Era = Value.at(0).get<std::uint64_t>(), .m_Offset = Value.at(1).get<std::uint64_t>()};
+}
+
 Json encodeBody(const Hello &Message) {
   return Json::array({encodeInfo(Message.m_Sender), Message.m_AsksForPeers});
 }
@@ -131,10 +137,11 @@
 }
 
 Json encodeBody(const StoreNews &Message) {
-  return Json::array({static_cast<int>(Message.m_Stream), Message.m_From, Message.m_To,
-                      toMicros(Message.m_Age), Message.m_MayHaveLapsed, Message.m_IsSteady,
-                      Message.m_IsPartial, encodeRecords(Message.m_Records),
-                      encodeInfo(Message.m_Sender), Message.m_IsForRelay});
+  return Json::array({static_cast<int>(Message.m_Stream), encodePosition(Message.m_From),
+                      encodePosition(Message.m_To), toMicros(Message.m_Age),
+                      Message.m_MayHaveLapsed, Message.m_IsSteady, Message.m_IsPartial,
+                      encodeRecords(Message.m_Records), encodeInfo(Message.m_Sender),
+                      Message.m_IsForRelay});
 }
 
 Json encodeBody(const ServerFailed &Message) { return Json::array({raw(Message.m_Server)}); }
@@ -145,9 +152,10 @@
 }
 
 Json encodeBody(const Snapshot &Message) {
-  return Json::array({Message.m_ConfigurationPosition, toMicros(Message.m_ConfigurationAge),
-                      encodeBytes(Message.m_ConfigurationText), Message.m_ServersPosition,
-                      toMicros(Message.m_ServersAge), encodeRecords(Message.m_Servers)});
+  return Json::array(
+      {encodePosition(Message.m_ConfigurationPosition), toMicros(Message.m_ConfigurationAge),
+       encodeBytes(Message.m_ConfigurationText), encodePosition(Message.m_ServersPosition),
+       toMicros(Message.m_ServersAge), encodeRecords(Message.m_Servers)});
 }
 
 StoreNews decodeStoreNews(const Json &Fields) {
@@ -158,8 +166,8 @@
   StoreNews Message{.m_Sender = decodeInfo(Fields.at(8)),
                     .m_IsForRelay = Fields.at(9).get<bool>(),
                     .m_Stream = static_cast<Stream>(Which),
-                    .m_From = Fields.at(1).get<std::uint64_t>(),
-                    .m_To = Fields.at(2).get<std::uint64_t>(),
+                    .m_From = decodePosition(Fields.at(1)),
+                    .m_To = decodePosition(Fields.at(2)),
                     .m_Age = decodeAge(Fields.at(3)),
                     .m_MayHaveLapsed = Fields.at(4).get<bool>(),
                     .m_IsSteady = Fields.at(5).get<bool>(),
@@ -197,10 +205,10 @@
                  .m_Count = Fields.at(2).get<std::uint32_t>(),
                  .m_Bytes = decodeBytes(Fields.at(3))};
   case 5:
-    return Snapshot{.m_ConfigurationPosition = Fields.at(0).get<std::uint64_t>(),
+    return Snapshot{.m_ConfigurationPosition = decodePosition(Fields.at(0)),
                     .m_ConfigurationAge = decodeAge(Fields.at(1)),
                     .m_ConfigurationText = decodeBytes(Fields.at(2)),
-                    .m_ServersPosition = Fields.at(3).get<std::uint64_t>(),
+                    .m_ServersPosition = decodePosition(Fields.at(3)),
                     .m_ServersAge = decodeAge(Fields.at(4)),
                     .m_Servers = decodeRecords(Fields.at(5))};
   default:
--- a/src/fleet/peers.cpp
+++ b/src/fleet/peers.cpp
@@ -211,6 +211,13 @@
                      [](const auto &Known) { return Known.second.m_HasCatalog; });
 }
 
+bool Peers::hasSizeChanged(std::size_t Previous) const {
+  const std::size_t Present = fleetSize();
+  constexpr std::size_t Tolerance = 5;
+  const std::size_t Larger = std::max(Present, Previous);
+  return (Larger - std::min(Present, Previous)) * Tolerance > Larger;
+}
+
 std::size_t Peers::fleetSize() const {
   std::size_t Vms = localSize();
   for (const auto &[DataCenter, Group] : m_Remote) {
--- a/src/fleet/snapshot_request.cpp
+++ b/src/fleet/snapshot_request.cpp
@@ -10,7 +10,7 @@
 constexpr std::string_view ServersField = "&servers=";
 
 /// Removes a prefix and the number behind it from the front of Rest.
-bool takeField(std::string_view &Rest, std::string_view Prefix, std::uint64_t &Out) {
+bool takeNumber(std::string_view &Rest, std::string_view Prefix, std::uint64_t &Out) {
   if (!Rest.starts_with(Prefix)) {
     return false;
   }
@@ -20,12 +20,16 @@
   return Parsed.ec == std::errc{};
 }
 
+bool takeField(std::string_view &Rest, std::string_view Prefix, Position &Out) {
+  return takeNumber(Rest, Prefix, Out.m_Era) && takeNumber(Rest, ".", Out.m_Offset);
+}
+
 } // namespace
 
 std::string encodeTarget(const SnapshotRequest &Request) {
   std::string Target(SnapshotPath);
-  Target.append(ConfigurationField).append(std::to_string(Request.m_ConfigurationTo));
-  Target.append(ServersField).append(std::to_string(Request.m_ServersTo));
+  Target.append(ConfigurationField).append(toString(Request.m_ConfigurationTo));
+  Target.append(ServersField).append(toString(Request.m_ServersTo));
   return Target;
 }
 
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -1,5 +1,6 @@
 #include "vanillahill/net/detail/fleet_client.hpp"
 
+#include "vanillahill/fleet/announcement.hpp"
 #include "vanillahill/observe/log.hpp"
 
 #include <algorithm>
@@ -12,13 +13,9 @@
 using fleet::Stream;
 using observe::LogLevel;
 
-/// The failure of one server is announced at most once in this time.
-constexpr Duration MinAnnounceInterval = std::chrono::milliseconds(150);
 /// Maximum number of datagrams for one range. A longer range is read from the store by every VM,
 /// which costs less than sending it to every VM in pieces.
 constexpr std::size_t MaxAnnouncedDatagrams = 8;
-/// Maximum number of servers whose last announced failure is remembered.
-constexpr std::size_t MaxAnnouncedFailures = 4096;
 /// Number of failed reads after which a snapshot is fetched from another VM.
 constexpr std::uint32_t FailuresBeforeFetch = 1;
 /// At its start a VM waits this long for other VMs that may have a snapshot.
@@ -107,7 +104,7 @@
   logFleetSize();
   m_Follower.setFleetSize(m_Peers.fleetSize());
   observe::flushLog();
-  if (hasFleetSizeChanged()) {
+  if (m_Peers.hasSizeChanged(m_SettingsFleetSize)) {
     publishSettings();
   }
   decideFirstReads(Now);
@@ -117,7 +114,7 @@
   const bool WaitsForSnapshot = m_IsFetching && !m_Follower.isComplete();
   if (const auto Which = WaitsForSnapshot ? std::nullopt : m_Follower.nextRead(Now)) {
     const auto From = m_Follower.position(*Which);
-    m_Store.m_Read(*Which, From,
+    m_Store.m_Read(*Which, From ? std::optional(From->m_Offset) : std::nullopt,
                    [Self = shared_from_this(), Which = *Which, From, Now](StoreResult Result) {
                      if (!Self->m_Closed) {
                        Self->onRead(Which, From, Now, std::move(Result));
@@ -143,25 +140,29 @@
   });
 }
 
-void FleetClient::onRead(Stream Which, std::optional<std::uint64_t> From, TimePoint AskedAt,
-                         StoreResult Result) {
+void FleetClient::onRead(Stream Which, const std::optional<fleet::Position> &From,
+                         TimePoint AskedAt, StoreResult Result) {
   const auto Now = SystemClock().now();
   if (!Result) {
     onReadFailed(Which, Result.error(), Now);
     runDueTasks();
     return;
   }
+  const bool IsUsable = m_Follower.answered(From, Result->m_To, Now);
+  noteEra();
+  if (!IsUsable) {
+    logOutdated("store", Result->m_To.m_Era);
+    runDueTasks();
+    return;
+  }
   const auto Previous = m_Follower.currentAt(Which);
-  const auto KnownTo = m_Follower.knownTo(Which);
-  const bool IsRange =
-      From && !Result->m_IsWhole && *From + Result->m_Records.size() == Result->m_To.m_Offset;
-  fleet::RecordRange Range{
-      .m_Stream = Which,
-      .m_From = IsRange ? *From
-                        : std::min(KnownTo.value_or(Result->m_To.m_Offset), Result->m_To.m_Offset),
-      .m_To = Result->m_To.m_Offset,
-      .m_AskedAt = AskedAt};
-  if (m_Follower.readSucceeded(Which, Result->m_To.m_Offset, AskedAt, Now)) {
+  const fleet::CompletedRead Read{.m_Stream = Which,
+                                  .m_From = Result->m_IsWhole ? std::nullopt : From,
+                                  .m_KnownTo = m_Follower.knownTo(Which),
+                                  .m_To = Result->m_To,
+                                  .m_Records = Result->m_Records.size(),
+                                  .m_AskedAt = AskedAt};
+  if (m_Follower.readSucceeded(Which, Read.m_To, AskedAt, Now)) {
     observe::log(LogLevel::Info, "store_regained", {});
   }
   recordCatalogCurrent(Previous, Now);
@@ -170,22 +171,9 @@
   }
   std::vector<bool> ShouldAnnounce;
   const bool Changed = applyRecords(Which, *Result, ShouldAnnounce, Now);
-  fleet::StoreNews Announcement{.m_Stream = Which, .m_From = Range.m_From, .m_To = Range.m_To};
-  std::size_t First = 0;
-  if (IsRange) {
-    // Only records that no VM has announced yet.
-    Announcement.m_From = m_Follower.untoldFrom(Range);
-    First = Announcement.m_From - Range.m_From;
-  } else if (!KnownTo) {
-    First = ShouldAnnounce.size();
-  }
-  for (std::size_t Index = First; Index < ShouldAnnounce.size(); ++Index) {
-    if (ShouldAnnounce[Index]) {
-      Announcement.m_Records.push_back(std::move(Result->m_Records[Index]));
-    }
-  }
-  announce(std::move(Announcement), AskedAt, Now);
-  m_Follower.told(Range);
+  announce(fleet::announcementOf(Read, m_Follower, Result->m_Records, ShouldAnnounce), AskedAt,
+           Now);
+  m_Follower.told(Read.range());
   relayPending(Now);
   if (Changed) {
     publishSettings();
@@ -194,16 +182,41 @@
 }
 
 void FleetClient::onReadFailed(Stream Which, const StoreFailure &Failed, TimePoint Now) {
-  m_Follower.readFailed(Which, Failed.m_IsPositionLost, Now);
+  m_Follower.noteEra(Failed.m_Era, Now);
+  noteEra();
+  const bool IsPositionLost = Failed.m_IsPositionLost && Failed.m_Era == m_Follower.era();
+  m_Follower.readFailed(Which, IsPositionLost, Now);
   observe::logFault("store_read_failed", Failed.m_Error);
   if (m_Follower.failures() == FailuresBeforeFetch) {
     observe::log(LogLevel::Warning, "store_lost", {{"stream", std::string(toString(Which))}});
   }
-  if (!Failed.m_IsPositionLost && m_Follower.failures() >= FailuresBeforeFetch) {
+  if (!IsPositionLost && m_Follower.failures() >= FailuresBeforeFetch) {
     fetchSnapshot(Now);
   }
 }
 
+/// Takes note of an era that the store or another VM told.
+void FleetClient::noteEra() {
+  if (m_Follower.era() == m_Era) {
+    return;
+  }
+  m_Era = m_Follower.era();
+  observe::log(LogLevel::Warning, "store_era",
+               {{"era", std::to_string(m_Era)},
+                {"configuration", toString(m_Follower.known().m_ConfigurationTo)},
+                {"servers", toString(m_Follower.known().m_ServersTo)}});
+}
+
+/// Logs, once in each era, that something of an earlier era was dropped.
+void FleetClient::logOutdated(std::string_view Source, std::uint64_t Era) {
+  if (Era < m_Follower.era() && m_Follower.isFirstOutdated()) {
+    observe::log(LogLevel::Warning, "outdated_era_dropped",
+                 {{"from", std::string(Source)},
+                  {"era", std::to_string(Era)},
+                  {"known_era", std::to_string(m_Follower.era())}});
+  }
+}
+
 /// Records that this VM knows the content of the store, by its own read or from another VM.
 void FleetClient::recordCatalogCurrent(std::optional<TimePoint> Previous, TimePoint Now) {
   if (m_Lapse.becameCurrent(Previous, Now)) {
@@ -319,7 +332,7 @@
     return;
   }
   const auto &[Message, AskedAt] = *m_PendingRelay;
-  if (m_Follower.knownTo(Message.m_Stream).value_or(0) >= Message.m_To) {
+  if (m_Follower.knownTo(Message.m_Stream).value_or(fleet::Position{}) >= Message.m_To) {
     relay(Message, AskedAt, Now);
     m_PendingRelay.reset();
   }
@@ -388,9 +401,14 @@
                                  .m_From = Message.m_From,
                                  .m_To = Message.m_To,
                                  .m_AskedAt = Now - Message.m_Age};
-  const auto KnownTo = m_Follower.knownTo(Message.m_Stream);
-  const bool HasRecords = !Message.m_IsPartial && KnownTo && *KnownTo >= Message.m_From;
-  const bool IsMissing = !HasRecords && KnownTo.value_or(0) < Message.m_To;
+  if (Message.m_To.m_Era < m_Follower.era()) {
+    logOutdated(Ip, Message.m_To.m_Era);
+    return;
+  }
+  const bool HasRecords = !Message.m_IsPartial && m_Follower.reaches(Range);
+  const bool IsMissing =
+      !HasRecords &&
+      m_Follower.knownTo(Message.m_Stream).value_or(fleet::Position{}) < Message.m_To;
   if (Message.m_IsForRelay && Message.m_IsPartial && IsMissing) {
     m_PendingRelay = {Message, Range.m_AskedAt};
   } else if (Message.m_IsForRelay) {
@@ -398,6 +416,7 @@
   }
   const auto Previous = m_Follower.currentAt(Message.m_Stream);
   const bool IsNew = !Message.m_IsPartial && m_Follower.heard(Range, Now);
+  noteEra();
   if (m_Follower.currentAt(Message.m_Stream) != Previous) {
     recordCatalogCurrent(Previous, Now);
   }
@@ -408,9 +427,8 @@
     noteMissing(Ip, Message, Now);
   } else if (IsNew) {
     std::vector<bool> Ignored;
-    if (applyRecords(Message.m_Stream,
-                     {.m_To = {.m_Offset = Message.m_To}, .m_Records = Message.m_Records}, Ignored,
-                     Now)) {
+    if (applyRecords(Message.m_Stream, {.m_To = Message.m_To, .m_Records = Message.m_Records},
+                     Ignored, Now)) {
       publishSettings();
     }
   }
@@ -419,7 +437,7 @@
 
 /// Another VM announced records that are missing here: they are fetched soon.
 void FleetClient::noteMissing(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now) {
-  std::uint64_t &WantedTo =
+  fleet::Position &WantedTo =
       Message.m_Stream == Stream::Configuration ? m_Wanted.m_ConfigurationTo : m_Wanted.m_ServersTo;
   WantedTo = std::max(WantedTo, Message.m_To);
   m_Announcer = std::string(Ip);
@@ -460,9 +478,8 @@
   if (!isKnown(Wanted)) {
     return {};
   }
-  const bool HasWanted = m_SnapshotOffsets.m_ConfigurationTo >= Wanted.m_ConfigurationTo &&
-                         m_SnapshotOffsets.m_ServersTo >= Wanted.m_ServersTo;
-  if (!m_SnapshotFrame.empty() && HasWanted && Now - m_SnapshotMadeAt < SnapshotLifetime) {
+  if (!m_SnapshotFrame.empty() && m_SnapshotPositions.covers(Wanted) &&
+      Now - m_SnapshotMadeAt < SnapshotLifetime) {
     return m_SnapshotFrame;
   }
   // The frame may be sent for some time, so its content is that much older at the end.
@@ -470,18 +487,19 @@
     return Now - m_Follower.currentAt(Which).value_or(Now) + SnapshotLifetime;
   };
   fleet::Snapshot Content{.m_ConfigurationPosition =
-                              m_Follower.knownTo(Stream::Configuration).value_or(0),
+                              m_Follower.knownTo(Stream::Configuration).value_or(fleet::Position{}),
                           .m_ConfigurationAge = AgeOf(Stream::Configuration),
                           .m_ConfigurationText = m_ConfigurationText,
-                          .m_ServersPosition = m_Follower.knownTo(Stream::Servers).value_or(0),
+                          .m_ServersPosition =
+                              m_Follower.knownTo(Stream::Servers).value_or(fleet::Position{}),
                           .m_ServersAge = AgeOf(Stream::Servers)};
   for (const auto &[Id, Text] : m_ServerTexts) {
     Content.m_Servers.push_back({.m_Key = Id, .m_Value = Text});
   }
   m_SnapshotFrame = fleet::encodeCompressed(Content);
   m_SnapshotMadeAt = Now;
-  m_SnapshotOffsets = {.m_ConfigurationTo = Content.m_ConfigurationPosition,
-                       .m_ServersTo = Content.m_ServersPosition};
+  m_SnapshotPositions = {.m_ConfigurationTo = Content.m_ConfigurationPosition,
+                         .m_ServersTo = Content.m_ServersPosition};
   return m_SnapshotFrame;
 }
 
@@ -492,9 +510,7 @@
 }
 
 bool FleetClient::isKnown(const fleet::SnapshotRequest &Wanted) const {
-  return m_Follower.isComplete() &&
-         *m_Follower.knownTo(Stream::Configuration) >= Wanted.m_ConfigurationTo &&
-         *m_Follower.knownTo(Stream::Servers) >= Wanted.m_ServersTo;
+  return m_Follower.isComplete() && m_Follower.known().covers(Wanted);
 }
 
 /// Fetches the snapshot of another VM, because this one has no catalog yet or the store does not
@@ -547,14 +563,18 @@
       !Received.m_ConfigurationText.empty() && applyConfiguration(Received.m_ConfigurationText);
   m_Follower.adopt(Stream::Configuration, Received.m_ConfigurationPosition,
                    AskedAt - Received.m_ConfigurationAge);
+  noteEra();
   const auto KnownTo = m_Follower.knownTo(Stream::Servers);
-  if (!KnownTo || Received.m_ServersPosition > *KnownTo) {
+  const bool IsOutdated = Received.m_ServersPosition.m_Era < m_Follower.era();
+  if (IsOutdated) {
+    logOutdated(Ip, Received.m_ServersPosition.m_Era);
+  } else if (!KnownTo || Received.m_ServersPosition > *KnownTo) {
     const auto Previous = m_Follower.currentAt(Stream::Servers);
     m_Follower.adopt(Stream::Servers, Received.m_ServersPosition, AskedAt - Received.m_ServersAge);
+    noteEra();
     recordCatalogCurrent(Previous, Now);
-    StoreRead Listing{.m_To = {.m_Offset = Received.m_ServersPosition},
-                      .m_Records = Received.m_Servers,
-                      .m_IsWhole = true};
+    StoreRead Listing{
+        .m_To = Received.m_ServersPosition, .m_Records = Received.m_Servers, .m_IsWhole = true};
     addUnlisted(Listing);
     std::vector<bool> Ignored;
     Changed = applyRecords(Stream::Servers, Listing, Ignored, Now) || Changed;
@@ -574,16 +594,6 @@
           .m_HasCatalog = m_Follower.isComplete()};
 }
 
-/// Whether the fleet size differs by more than a fifth of the larger size from the one for which
-/// the budget shares were computed.
-bool FleetClient::hasFleetSizeChanged() const {
-  const std::size_t Present = m_Peers.fleetSize();
-  constexpr std::size_t Tolerance = 5;
-  const std::size_t Larger = std::max(Present, m_SettingsFleetSize);
-  const std::size_t Smaller = std::min(Present, m_SettingsFleetSize);
-  return (Larger - Smaller) * Tolerance > Larger;
-}
-
 void FleetClient::logFleetSize() {
   const std::size_t Present = m_Peers.fleetSize();
   if (Present == m_LoggedFleetSize) {
@@ -606,23 +616,11 @@
 
 /// Local VMs only: these send to the same servers first.
 void FleetClient::tellServerFailed(ServerId Server) {
-  if (mayAnnounceFailure(Server, SystemClock().now())) {
+  if (m_FailureThrottle.mayAnnounce(Server, SystemClock().now())) {
     send(m_Peers.local(), fleet::ServerFailed{.m_Server = Server});
   }
 }
 
-bool FleetClient::mayAnnounceFailure(ServerId Server, TimePoint Now) {
-  if (m_FailureAnnouncedAt.size() >= MaxAnnouncedFailures) {
-    m_FailureAnnouncedAt.clear();
-  }
-  const auto [Known, IsNew] = m_FailureAnnouncedAt.try_emplace(Server, Now);
-  if (!IsNew && Now - Known->second < MinAnnounceInterval) {
-    return false;
-  }
-  Known->second = Now;
-  return true;
-}
-
 void FleetClient::send(std::span<const std::string> Ips, const fleet::News &Message) {
   const auto Datagrams = fleet::packNews(Message, ++m_LastSplitMessage);
   for (const std::string &Ip : Ips) {
--- a/tests/unit-fleet-client.cpp
+++ b/tests/unit-fleet-client.cpp
@@ -14,16 +14,26 @@
   std::vector<Record> m_Servers;
   /// Offset of the oldest record that can still be read.
   std::size_t m_FirstKept = 0;
+  std::uint64_t m_Era = 0;
+
+  /// Returns from a copy that lacks the newest records of servers.
+  void returnFromCopy(std::size_t LostRecords) {
+    m_Servers.resize(m_Servers.size() - LostRecords);
+    ++m_Era;
+  }
 
   StoreResult read(Stream Which, std::optional<std::uint64_t> From) {
     if (Which == Stream::Configuration) {
-      return StoreRead{.m_To = {.m_Offset = 1}, .m_Records = {{"config", "1"}}, .m_IsWhole = !From};
+      return StoreRead{.m_To = {.m_Era = m_Era, .m_Offset = 1},
+                       .m_Records = {{"config", "1"}},
+                       .m_IsWhole = !From};
     }
-    if (From && *From < m_FirstKept) {
+    if (From && (*From < m_FirstKept || *From > m_Servers.size())) {
       return StoreFailure{.m_Error = {Errc::LogUnavailable, "read", "", "deleted"},
-                          .m_IsPositionLost = true};
+                          .m_IsPositionLost = true,
+                          .m_Era = m_Era};
     }
-    StoreRead Read{.m_To = {.m_Offset = m_Servers.size()}, .m_IsWhole = !From};
+    StoreRead Read{.m_To = {.m_Era = m_Era, .m_Offset = m_Servers.size()}, .m_IsWhole = !From};
     if (From) {
       Read.m_Records.assign(m_Servers.begin() + static_cast<std::ptrdiff_t>(*From),
                             m_Servers.end());
@@ -162,6 +172,20 @@
   EXPECT_EQ(m_ServerReads["127.0.0.2"], 1) << "only the one at its start";
 }
 
+/// After a return from a copy, offsets were given out again: records behind the copy's end were
+/// skipped by VMs that knew those offsets from the former era.
+TEST_F(FleetClientTest, RecordsThatGotTheOffsetsOfLostOnesReachAllVms) {
+  Store Source{.m_Servers = {{"s1", "1"}, {"s2", "1"}, {"s3", "1"}}};
+  const auto Reader = start("127.0.0.1", ShortBound, {}, Source);
+  runUntil([&] { return Reader->isUsable(); });
+  const auto Other = start("127.0.0.2", LongBound, {"127.0.0.1"}, Source);
+  runUntil([&] { return Other->isUsable() && Reader->fleetSize() == 2; });
+  Source.returnFromCopy(1);
+  Source.m_Servers.push_back({"s4", "1"});
+  runUntil([&] { return Reader->knows("s4") && Other->knows("s4"); });
+  EXPECT_EQ(m_ServerReads["127.0.0.2"], 0) << "the other VM's listing is announced";
+}
+
 /// A fleet of two data centres. One VM reads the store often, the others only at their start.
 class FleetClientTwoDataCenters : public FleetClientTest {
 protected:
--- a/tests/unit-follower.cpp
+++ b/tests/unit-follower.cpp
@@ -14,13 +14,17 @@
 const TimePoint Start = TimePoint{} + std::chrono::hours(1);
 constexpr Duration Bound = seconds(2);
 
+Position at(std::uint64_t Offset, std::uint64_t Era = 0) {
+  return {.m_Era = Era, .m_Offset = Offset};
+}
+
 Follower follower(std::uint64_t Seed = 1) { return Follower({.m_Bound = Bound, .m_Seed = Seed}); }
 
 /// A follower that has read both streams once, up to offset 10.
 Follower current() {
   Follower Reader = follower();
   for (std::size_t Round = 0; Round < StreamCount; ++Round) {
-    Reader.readSucceeded(*Reader.nextRead(Start), 10, Start, Start);
+    Reader.readSucceeded(*Reader.nextRead(Start), at(10), Start, Start);
   }
   return Reader;
 }
@@ -32,8 +36,8 @@
     ASSERT_TRUE(Which);
     EXPECT_FALSE(Reader.position(*Which));
     EXPECT_FALSE(Reader.nextRead(Start)) << "one read at a time";
-    EXPECT_FALSE(Reader.readSucceeded(*Which, 10, Start, Start));
-    EXPECT_EQ(Reader.position(*Which), 10U);
+    EXPECT_FALSE(Reader.readSucceeded(*Which, at(10), Start, Start));
+    EXPECT_EQ(Reader.position(*Which), at(10));
   }
   EXPECT_FALSE(Reader.nextRead(Start));
   EXPECT_GE(Reader.nextTimer(), Start + milliseconds(600));
@@ -45,7 +49,8 @@
   const TimePoint AnnouncedAt = Start + milliseconds(600);
   for (const Stream Which : {Stream::Configuration, Stream::Servers}) {
     EXPECT_FALSE(Reader.heard(
-        {.m_Stream = Which, .m_From = 10, .m_To = 10, .m_AskedAt = AnnouncedAt}, AnnouncedAt));
+        {.m_Stream = Which, .m_From = at(10), .m_To = at(10), .m_AskedAt = AnnouncedAt},
+        AnnouncedAt));
   }
   EXPECT_GE(Reader.nextTimer(), AnnouncedAt + milliseconds(600));
 }
@@ -53,21 +58,23 @@
 TEST(Follower, AnOutdatedAnnouncementPostponesNoRead) {
   Follower Reader = current();
   const TimePoint Before = Reader.nextTimer();
-  Reader.heard(
-      {.m_Stream = Stream::Servers, .m_From = 10, .m_To = 10, .m_AskedAt = Start - seconds(1)},
-      Start + milliseconds(500));
+  Reader.heard({.m_Stream = Stream::Servers,
+                .m_From = at(10),
+                .m_To = at(10),
+                .m_AskedAt = Start - seconds(1)},
+               Start + milliseconds(500));
   EXPECT_EQ(Reader.nextTimer(), Before);
 }
 
 TEST(Follower, AcceptsConsecutiveRecordsAndReadsWhenSomeAreMissing) {
   Follower Reader = current();
   const TimePoint Now = Start + milliseconds(100);
-  EXPECT_TRUE(
-      Reader.heard({.m_Stream = Stream::Servers, .m_From = 8, .m_To = 14, .m_AskedAt = Now}, Now));
-  EXPECT_EQ(Reader.position(Stream::Servers), 14U);
-  EXPECT_FALSE(
-      Reader.heard({.m_Stream = Stream::Servers, .m_From = 16, .m_To = 18, .m_AskedAt = Now}, Now));
-  EXPECT_EQ(Reader.position(Stream::Servers), 14U);
+  EXPECT_TRUE(Reader.heard(
+      {.m_Stream = Stream::Servers, .m_From = at(8), .m_To = at(14), .m_AskedAt = Now}, Now));
+  EXPECT_EQ(Reader.position(Stream::Servers), at(14));
+  EXPECT_FALSE(Reader.heard(
+      {.m_Stream = Stream::Servers, .m_From = at(16), .m_To = at(18), .m_AskedAt = Now}, Now));
+  EXPECT_EQ(Reader.position(Stream::Servers), at(14));
   const TimePoint FetchedBy = Now + Bound / 4;
   EXPECT_FALSE(Reader.nextRead(FetchedBy - milliseconds(1))) << "another VM may have them";
   EXPECT_EQ(Reader.nextRead(FetchedBy), Stream::Servers);
@@ -87,7 +94,7 @@
     Now = Reader.nextTimer();
   }
   EXPECT_GE(LastBackoff, Follower::MaxBackoff * 3 / 4);
-  EXPECT_TRUE(Reader.readSucceeded(*Reader.nextRead(Now), 11, Now, Now));
+  EXPECT_TRUE(Reader.readSucceeded(*Reader.nextRead(Now), at(11), Now, Now));
   EXPECT_EQ(Reader.failures(), 0U);
 }
 
@@ -101,7 +108,7 @@
   auto Next = Reader.nextRead(Now);
   if (Next != Which) {
     // The other stream was due earlier.
-    Reader.readSucceeded(*Next, 11, Now, Now);
+    Reader.readSucceeded(*Next, at(11), Now, Now);
     Next = Reader.nextRead(Now);
   }
   EXPECT_EQ(Next, Which);
@@ -111,24 +118,24 @@
   Follower Reader = follower();
   EXPECT_FALSE(Reader.isComplete());
   for (const Stream Which : {Stream::Configuration, Stream::Servers}) {
-    Reader.adopt(Which, 10, Start - milliseconds(100));
+    Reader.adopt(Which, at(10), Start - milliseconds(100));
   }
   EXPECT_TRUE(Reader.isComplete());
-  EXPECT_EQ(Reader.position(Stream::Servers), 10U);
+  EXPECT_EQ(Reader.position(Stream::Servers), at(10));
   EXPECT_EQ(Reader.currentAt(Stream::Servers), Start - milliseconds(100));
   EXPECT_GE(Reader.nextTimer(), Start + milliseconds(500));
-  Reader.adopt(Stream::Servers, 4, Start + milliseconds(100));
-  EXPECT_EQ(Reader.position(Stream::Servers), 10U) << "older content is ignored";
+  Reader.adopt(Stream::Servers, at(4), Start + milliseconds(100));
+  EXPECT_EQ(Reader.position(Stream::Servers), at(10)) << "older content is ignored";
 }
 
 TEST(Follower, AnnouncedRecordsThatCameFromNoOtherVmAreReadFromTheStore) {
   Follower Reader = current();
   const TimePoint Now = Start + milliseconds(10);
-  Reader.readSoon(Stream::Servers, 10, Now);
+  Reader.readSoon(Stream::Servers, at(10), Now);
   EXPECT_GT(Reader.nextTimer(), Now + Bound / 4) << "these records are known";
-  Reader.readSoon(Stream::Servers, 300, Now);
+  Reader.readSoon(Stream::Servers, at(300), Now);
   EXPECT_EQ(Reader.nextTimer(), Now + Bound / 4);
-  Reader.adopt(Stream::Servers, 300, Now + milliseconds(50));
+  Reader.adopt(Stream::Servers, at(300), Now + milliseconds(50));
   EXPECT_GE(Reader.nextTimer(), Start + Bound * 3 / 10);
 }
 
@@ -136,11 +143,11 @@
   Follower Reader = current();
   Reader.readFailed(Stream::Servers, true, Start);
   EXPECT_FALSE(Reader.position(Stream::Servers));
-  EXPECT_EQ(Reader.knownTo(Stream::Servers), 10U);
+  EXPECT_EQ(Reader.knownTo(Stream::Servers), at(10));
   EXPECT_TRUE(Reader.heard(
-      {.m_Stream = Stream::Servers, .m_From = 10, .m_To = 40, .m_AskedAt = Start}, Start))
+      {.m_Stream = Stream::Servers, .m_From = at(10), .m_To = at(40), .m_AskedAt = Start}, Start))
       << "another VM listed the servers and announces what changed";
-  EXPECT_EQ(Reader.position(Stream::Servers), 40U);
+  EXPECT_EQ(Reader.position(Stream::Servers), at(40));
 }
 
 TEST(Follower, OfALargeDataCenterThatStartsAtOnceFewVmsReadTheStore) {
@@ -160,6 +167,94 @@
   EXPECT_LE(ReadsAtOnce, 2 * static_cast<std::size_t>(Follower::FirstReadVms));
 }
 
+TEST(Follower, ALaterEraWinsOverAnyOffset) {
+  Follower Reader = current();
+  EXPECT_TRUE(Reader.heard(
+      {.m_Stream = Stream::Servers, .m_From = at(10), .m_To = at(4, 1), .m_AskedAt = Start},
+      Start));
+  EXPECT_EQ(Reader.position(Stream::Servers), at(4, 1));
+  EXPECT_FALSE(Reader.position(Stream::Configuration)) << "is listed in the new era";
+  EXPECT_EQ(Reader.knownTo(Stream::Configuration), at(10));
+  Reader.adopt(Stream::Configuration, at(2, 1), Start);
+  EXPECT_EQ(Reader.position(Stream::Configuration), at(2, 1));
+}
+
+/// The store gives offsets out again: what a read from an old offset returns follows other records.
+TEST(Follower, RecordsWithOffsetsThatWereGivenOutAgainAreNotSkipped) {
+  Follower Reader = current();
+  const TimePoint Now = Start + seconds(2);
+  const auto Which = Reader.nextRead(Now);
+  ASSERT_TRUE(Which);
+  EXPECT_FALSE(Reader.answered(Reader.position(*Which), at(12, 1), Now));
+  const auto Next = Reader.nextRead(Now);
+  ASSERT_TRUE(Next);
+  EXPECT_FALSE(Reader.position(*Next)) << "a listing";
+  EXPECT_TRUE(Reader.answered(std::nullopt, at(12, 1), Now));
+  Reader.readSucceeded(*Next, at(12, 1), Now, Now);
+  EXPECT_EQ(Reader.position(*Next), at(12, 1));
+  EXPECT_EQ(Reader.failures(), 0U);
+}
+
+TEST(Follower, WordsOfAnEarlierEraAreDroppedAndReportedOnce) {
+  Follower Reader = current();
+  EXPECT_TRUE(Reader.heard(
+      {.m_Stream = Stream::Servers, .m_From = at(10), .m_To = at(4, 1), .m_AskedAt = Start},
+      Start));
+  const RecordRange Old{
+      .m_Stream = Stream::Servers, .m_From = at(10), .m_To = at(50), .m_AskedAt = Start};
+  EXPECT_FALSE(Reader.heard(Old, Start));
+  Reader.adopt(Stream::Servers, at(60), Start);
+  Reader.adopt(Stream::Configuration, at(60), Start);
+  EXPECT_EQ(Reader.position(Stream::Servers), at(4, 1));
+  EXPECT_EQ(Reader.knownTo(Stream::Configuration), at(10));
+  const TimePoint Now = Start + seconds(2);
+  ASSERT_TRUE(Reader.nextRead(Now));
+  EXPECT_FALSE(Reader.answered(std::nullopt, at(70), Now)) << "the answer of an older history";
+  EXPECT_FALSE(Reader.nextRead(Now)) << "not repeated at once";
+  EXPECT_TRUE(Reader.isFirstOutdated());
+  EXPECT_FALSE(Reader.isFirstOutdated());
+  Reader.noteEra(2, Now);
+  EXPECT_TRUE(Reader.isFirstOutdated()) << "once in each era";
+}
+
+/// The difference between two eras that one VM found is wrong for a VM that knew more or less.
+TEST(Follower, ADifferenceBetweenErasHoldsOnlyFromTheSamePosition) {
+  const RecordRange Difference{
+      .m_Stream = Stream::Servers, .m_From = at(10), .m_To = at(4, 1), .m_AskedAt = Start};
+  Follower KnewMore = current();
+  ASSERT_TRUE(KnewMore.heard(
+      {.m_Stream = Stream::Servers, .m_From = at(10), .m_To = at(12), .m_AskedAt = Start}, Start));
+  EXPECT_FALSE(KnewMore.heard(Difference, Start));
+  EXPECT_FALSE(KnewMore.position(Stream::Servers));
+  EXPECT_EQ(KnewMore.nextTimer(), Start + Bound / 4) << "fetched, or listed after that";
+  Follower InNewEra = current();
+  InNewEra.adopt(Stream::Servers, at(3, 1), Start);
+  EXPECT_FALSE(InNewEra.heard(Difference, Start)) << "records may be missing";
+  InNewEra.adopt(Stream::Servers, at(5, 1), Start);
+  EXPECT_TRUE(InNewEra.reaches(Difference)) << "nothing new";
+}
+
+/// The read began before another VM told of the new era: its 410 says nothing about the position
+/// that is known now, and each of many VMs would list the servers.
+TEST(Follower, ALostPositionOfTheFormerEraCausesNoListingInTheNewOne) {
+  Follower Reader = current();
+  const TimePoint Now = Start + seconds(2);
+  const auto Which = Reader.nextRead(Now);
+  ASSERT_TRUE(Which);
+  Reader.adopt(*Which, at(4, 1), Now);
+  Reader.noteEra(1, Now);
+  Reader.readFailed(*Which, true, Now);
+  EXPECT_EQ(Reader.position(*Which), at(4, 1));
+}
+
+/// An older platform tells no era. A VM that kept the lost offset would wait there for ever.
+TEST(Follower, WithoutAnEraAListingAfterALostPositionMayEndBeforeIt) {
+  Follower Reader = current();
+  Reader.readFailed(Stream::Servers, true, Start);
+  Reader.readSucceeded(Stream::Servers, at(7), Start, Start);
+  EXPECT_EQ(Reader.position(Stream::Servers), at(7));
+}
+
 /// Simulates a fleet on a clock that advances in steps of one millisecond, in which the VMs act one
 /// after the other. Each read is announced to the others when it ends; each of them misses the
 /// announcement with probability LossShare.
@@ -215,12 +310,13 @@
   struct RunningRead {
     std::size_t m_Vm = 0;
     Stream m_Stream = Stream::Servers;
-    std::optional<std::uint64_t> m_From;
+    std::optional<Position> m_From;
     TimePoint m_AskedAt{};
   };
 
   void finishRead(const RunningRead &Ended, TimePoint Now) {
-    const auto To = static_cast<std::uint64_t>((Ended.m_AskedAt - Start) / milliseconds(60));
+    const Position To =
+        at(static_cast<std::uint64_t>((Ended.m_AskedAt - Start) / milliseconds(60)));
     m_Vms[Ended.m_Vm].readSucceeded(Ended.m_Stream, To, Ended.m_AskedAt, Now);
     std::bernoulli_distribution IsLost(m_LossShare);
     for (std::size_t Other = 0; Other < m_Vms.size(); ++Other) {
@@ -283,12 +379,14 @@
 
 TEST(Follower, RecordsAlreadyAnnouncedAreNotAnnouncedAgain) {
   Follower Reader = current();
-  RecordRange Range{.m_Stream = Stream::Servers, .m_From = 10, .m_To = 20, .m_AskedAt = Start};
-  EXPECT_EQ(Reader.untoldFrom(Range), 10U);
-  Reader.heard({.m_Stream = Stream::Servers, .m_From = 12, .m_To = 16, .m_AskedAt = Start}, Start);
-  EXPECT_EQ(Reader.untoldFrom(Range), 16U);
+  RecordRange Range{
+      .m_Stream = Stream::Servers, .m_From = at(10), .m_To = at(20), .m_AskedAt = Start};
+  EXPECT_EQ(Reader.untoldFrom(Range), at(10));
+  Reader.heard({.m_Stream = Stream::Servers, .m_From = at(12), .m_To = at(16), .m_AskedAt = Start},
+               Start);
+  EXPECT_EQ(Reader.untoldFrom(Range), at(16));
   Reader.told(Range);
-  EXPECT_EQ(Reader.untoldFrom(Range), 20U);
+  EXPECT_EQ(Reader.untoldFrom(Range), at(20));
 }
 
 TEST(Follower, AFleetStaysCurrentWhenAnnouncementsAreLost) {
--- a/tests/unit-news.cpp
+++ b/tests/unit-news.cpp
@@ -1,5 +1,6 @@
 #include "vanillahill/fleet/lapse_watch.hpp"
 #include "vanillahill/fleet/news.hpp"
+#include "vanillahill/fleet/snapshot_request.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -41,8 +42,8 @@
       roundTrip(StoreNews{.m_Sender = Sender,
                           .m_IsForRelay = true,
                           .m_Stream = Stream::Servers,
-                          .m_From = 7,
-                          .m_To = 9,
+                          .m_From = {.m_Era = 2, .m_Offset = 17},
+                          .m_To = {.m_Era = 3, .m_Offset = 9},
                           .m_Age = milliseconds(3),
                           .m_MayHaveLapsed = true,
                           .m_IsSteady = true,
@@ -51,8 +52,8 @@
   EXPECT_EQ(Decoded.m_Sender.m_DataCenter, "dc1");
   EXPECT_TRUE(Decoded.m_IsForRelay);
   EXPECT_EQ(Decoded.m_Stream, Stream::Servers);
-  EXPECT_EQ(Decoded.m_From, 7U);
-  EXPECT_EQ(Decoded.m_To, 9U);
+  EXPECT_EQ(Decoded.m_From, (Position{.m_Era = 2, .m_Offset = 17}));
+  EXPECT_EQ(Decoded.m_To, (Position{.m_Era = 3, .m_Offset = 9}));
   EXPECT_EQ(Decoded.m_Age, milliseconds(3));
   EXPECT_TRUE(Decoded.m_MayHaveLapsed);
   EXPECT_TRUE(Decoded.m_IsPartial);
@@ -62,17 +63,17 @@
   EXPECT_FALSE(Decoded.m_Records[1].m_Value);
   EXPECT_EQ(roundTrip(ServerFailed{.m_Server = ServerId{5}}).m_Server, ServerId{5});
   EXPECT_EQ(roundTrip(Piece{.m_MessageNumber = 4, .m_Count = 1, .m_Bytes = "x"}).m_Bytes, "x");
-  const Snapshot Whole = roundTrip(Snapshot{.m_ConfigurationPosition = 3,
+  const Snapshot Whole = roundTrip(Snapshot{.m_ConfigurationPosition = {.m_Era = 1, .m_Offset = 3},
                                             .m_ConfigurationAge = milliseconds(20),
                                             .m_ConfigurationText = "text",
-                                            .m_ServersPosition = 9,
+                                            .m_ServersPosition = {.m_Era = 2, .m_Offset = 9},
                                             .m_ServersAge = milliseconds(30),
                                             .m_Servers = {{"s1", "v"}}});
-  EXPECT_EQ(Whole.m_ConfigurationPosition, 3U);
+  EXPECT_EQ(Whole.m_ConfigurationPosition, (Position{.m_Era = 1, .m_Offset = 3}));
   EXPECT_EQ(Whole.m_ConfigurationAge, milliseconds(20));
   EXPECT_EQ(Whole.m_ServersAge, milliseconds(30));
   EXPECT_EQ(Whole.m_ConfigurationText, "text");
-  EXPECT_EQ(Whole.m_ServersPosition, 9U);
+  EXPECT_EQ(Whole.m_ServersPosition, (Position{.m_Era = 2, .m_Offset = 9}));
   EXPECT_EQ(Whole.m_Servers.size(), 1U);
 }
 
@@ -83,8 +84,8 @@
 RC_GTEST_PROP(News, DecodingACorruptedMessageGivesAMessageOrAnError,
               (std::uint16_t At, char Byte)) {
   std::string Datagram = encodeNews(StoreNews{.m_Stream = Stream::Servers,
-                                              .m_From = 1,
-                                              .m_To = 3,
+                                              .m_From = {.m_Offset = 1},
+                                              .m_To = {.m_Offset = 3},
                                               .m_Records = {{"key", "value"}, {"b", {}}}});
   Datagram[At % Datagram.size()] = Byte;
   decodeNews(Datagram);
@@ -114,7 +115,9 @@
 
 RC_GTEST_PROP(News, ARangeOfAnySizeIsReassembled,
               (std::vector<std::uint16_t> Sizes, std::uint32_t Seed)) {
-  StoreNews Range{.m_Stream = Stream::Servers, .m_From = 100, .m_To = 100 + Sizes.size()};
+  StoreNews Range{.m_Stream = Stream::Servers,
+                  .m_From = {.m_Offset = 100},
+                  .m_To = {.m_Offset = 100 + Sizes.size()}};
   std::mt19937 Random(Seed);
   for (std::size_t Index = 0; Index < Sizes.size(); ++Index) {
     std::string Value(Sizes[Index] % 1500, '\0');
@@ -135,9 +138,9 @@
 
 RC_GTEST_PROP(News, ASnapshotOfAnySizeIsReassembled, (std::string Text, std::uint32_t Seed)) {
   Text.append(3000, 'x');
-  const auto Received = receive(packNews(Snapshot{.m_ConfigurationPosition = 3,
+  const auto Received = receive(packNews(Snapshot{.m_ConfigurationPosition = {.m_Offset = 3},
                                                   .m_ConfigurationText = Text,
-                                                  .m_ServersPosition = 9,
+                                                  .m_ServersPosition = {.m_Offset = 9},
                                                   .m_Servers = {{"s1", "v"}}},
                                          9),
                                 Seed);
@@ -148,7 +151,7 @@
 
 RC_GTEST_PROP(News, DecodingACorruptedCompressedMessageGivesAMessageOrAnError,
               (std::uint16_t At, char Byte)) {
-  const StoreNews Long{.m_To = 1, .m_Records = {{"key", std::string(2000, 'a')}}};
+  const StoreNews Long{.m_To = {.m_Offset = 1}, .m_Records = {{"key", std::string(2000, 'a')}}};
   std::string Datagram = packNews(Long, 1).at(0);
   Datagram[At % Datagram.size()] = Byte;
   decodeNews(Datagram);
@@ -168,7 +171,8 @@
 TEST(News, AConfigurationOfFortyRoutesTakesAtMostTwoDatagrams) {
   const std::string Text = longConfiguration();
   ASSERT_GT(Text.size(), 6000U);
-  EXPECT_LE(packNews(StoreNews{.m_To = 1, .m_Records = {{"config", Text}}}, 1).size(), 2U);
+  EXPECT_LE(packNews(StoreNews{.m_To = {.m_Offset = 1}, .m_Records = {{"config", Text}}}, 1).size(),
+            2U);
 }
 
 std::vector<Piece> piecesOf(char Filler, std::uint64_t Number) {
@@ -242,5 +246,18 @@
   EXPECT_FALSE(One.mayHaveLapsed(Back + LapseWatch::GracePeriod));
 }
 
+/// A request for an offset of one era must not be answered with that of another one.
+TEST(News, ASnapshotRequestNamesTheEra) {
+  const SnapshotRequest Asked{.m_ConfigurationTo = {.m_Era = 2, .m_Offset = 40},
+                              .m_ServersTo = {.m_Era = 3, .m_Offset = 7}};
+  const auto Decoded = decodeTarget(encodeTarget(Asked));
+  ASSERT_TRUE(Decoded);
+  EXPECT_EQ(Decoded->m_ConfigurationTo, Asked.m_ConfigurationTo);
+  EXPECT_EQ(Decoded->m_ServersTo, Asked.m_ServersTo);
+  EXPECT_FALSE(decodeTarget("/snapshot?configuration=40&servers=7"));
+  EXPECT_FALSE(Asked.covers({.m_ServersTo = {.m_Era = 4}}));
+  EXPECT_TRUE(Asked.covers({.m_ServersTo = {.m_Era = 2, .m_Offset = 900}}));
+}
+
 } // namespace
 } // namespace vanillahill::fleet
