In a new era few VMs of a data centre list for all

At the store's return all VMs try again at about the same time. Each that learnt of the new era before the first listing was announced listed both streams, which at a slow store is most of the fleet: load on the store just when it is back.

A VM whose reads had failed draws as at a start whether it lists at once or waits 0.5 to 1.2 s for the others. One that learns of the era while reads succeed lists at once: few VMs read then.

--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -87,8 +87,11 @@
   /// \brief Replaces FollowerOptions::m_Bound.
   void setBound(Duration Bound) { m_Options.m_Bound = Bound; }
 
-  /// \brief Sets the number of VMs in the fleet, including this one.
-  void setFleetSize(std::size_t Vms) { m_FleetSize = Vms; }
+  /// \brief Sets the number of VMs in the fleet and in the data centre, including this one.
+  void setFleetSize(std::size_t Vms, std::size_t LocalVms) {
+    m_FleetSize = Vms;
+    m_LocalVms = LocalVms;
+  }
 
   /// \brief Where the part of a range begins that no VM is known to have announced.
   /// \return the position of its first record; the end of the range when all was announced
@@ -132,7 +135,8 @@
   /// \brief Latest era that the store or another VM told.
   std::uint64_t era() const { return m_Era; }
 
-  /// \brief Takes the era that the store told. In a new era the streams are listed at once.
+  /// \brief Takes the era that the store told. In a new era the streams are listed: at once, or,
+  /// when reads had failed before and all VMs may learn of the era now, as by spreadFirstReads().
   void noteEra(std::uint64_t Era, TimePoint Now);
 
   /// \brief Reports that a read was answered, before its records are used.
@@ -212,6 +216,7 @@
   bool m_HasNotedOutdated = false;
   std::uint32_t m_Failures = 0;
   std::size_t m_FleetSize = 1;
+  std::size_t m_LocalVms = 1;
   /// Back-off after failed reads: no read starts before this time.
   TimePoint m_PausedUntil{};
 };
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -57,6 +57,9 @@
   for (StreamState &State : m_Streams) {
     State.m_NextReadAt = std::min(State.m_NextReadAt, Now);
   }
+  if (m_Failures > 0) {
+    spreadFirstReads(m_LocalVms, Now);
+  }
 }
 
 bool Follower::answered(const std::optional<Position> &From, const Position &To, TimePoint Now) {
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -102,7 +102,7 @@
   }
   sendDueHellos();
   logFleetSize();
-  m_Follower.setFleetSize(m_Peers.fleetSize());
+  m_Follower.setFleetSize(m_Peers.fleetSize(), m_Peers.localSize());
   observe::flushLog();
   if (m_Peers.hasSizeChanged(m_SettingsFleetSize)) {
     publishSettings();
