What the copy lacks or shows too old changes nothing that is in force

Seen by callers after a return from a copy: all servers that had registered in its last seconds were removed at once by every VM, though they are alive, and a VM that started then was given a draining server's older record by its neighbours.

On a new era removals are held for two seconds, as after an outage; no VM counts as steady then, so none releases them. A removal found by comparing with the copy (Removal::MissingFromCopy) is undone by the same record written again; after an acknowledged one a later birth or sequence is needed, as before.

--- a/include/vanillahill/fleet/announcement.hpp
+++ b/include/vanillahill/fleet/announcement.hpp
@@ -1,7 +1,8 @@
 /// \file
-/// Builds the announcement of a read.
+/// Builds the announcement of a read, and compares listings with what is known.
 #pragma once
 
+#include "vanillahill/fleet/catalog.hpp"
 #include "vanillahill/fleet/follower.hpp"
 #include "vanillahill/fleet/news.hpp"
 
@@ -36,4 +37,10 @@
 StoreNews announcementOf(const CompletedRead &Read, const Follower &Reader,
                          std::vector<Record> &Records, const std::vector<bool> &ShouldAnnounce);
 
+/// \brief The range that an announcement covers.
+RecordRange rangeOf(const StoreNews &Announcement, TimePoint Now);
+
+/// \brief Adds a removal for each known server that a listing of all servers does not contain.
+void addUnlisted(const Catalog &Known, std::vector<Record> &Listing);
+
 } // namespace vanillahill::fleet
--- a/include/vanillahill/fleet/catalog.hpp
+++ b/include/vanillahill/fleet/catalog.hpp
@@ -81,6 +81,14 @@
   double m_MeasuringBudget = 10.0;
 };
 
+/// Why a server is removed.
+enum class Removal : std::uint8_t {
+  /// The store acknowledged the removal of its record.
+  Acknowledged,
+  /// The copy from which the store returned lacks its record, which may be written again unchanged.
+  MissingFromCopy,
+};
+
 /// Holds the newest configuration and the servers, and merges both into settings. Not thread safe.
 class Catalog {
 public:
@@ -101,8 +109,9 @@
   /// \brief Removes a server whose record was removed from the store; may be held back, see
   /// holdRemovals().
   /// \param Now the present time
+  /// \param Why decides which records may bring the server back
   /// \return whether the settings change now
-  bool remove(std::string_view Id, TimePoint Now);
+  bool remove(std::string_view Id, TimePoint Now, Removal Why = Removal::Acknowledged);
 
   /// \brief The known servers that a complete listing does not contain.
   std::vector<std::string> missingFrom(const std::set<std::string, std::less<>> &Ids) const;
@@ -130,6 +139,9 @@
 
   bool has(std::string_view Id) const { return m_Servers.contains(Id); }
 
+  /// \brief Whether a record is the newest known one of a known server.
+  bool isNewest(const ServerEntry &Entry) const;
+
   /// \brief Whether the removal of a server is held back.
   bool isRemovalHeld(std::string_view Id) const { return m_PendingRemovals.contains(Id); }
 
@@ -146,16 +158,23 @@
     TimePoint m_ColdUntil{};
     ServerId m_Id{};
   };
-  /// Identifies the last record of a removed server; records that are not newer are ignored.
+  /// Identifies the last record of a removed server; records that are not newer are ignored, except
+  /// the same record after Removal::MissingFromCopy.
   struct RemovedServer {
     std::int64_t m_BornMillis = 0;
     std::uint64_t m_Sequence = 0;
+    Removal m_Why = Removal::Acknowledged;
+  };
+  /// A removal that is held back.
+  struct PendingRemoval {
+    TimePoint m_Due{};
+    Removal m_Why = Removal::Acknowledged;
   };
 
   ServiceSettings serviceSettings(const Service &Listed) const;
   KindSettings kindSettings(const Route &Listed, std::string_view ServiceName) const;
   std::uint32_t reservedFleetSize() const;
-  void removeServer(std::string_view Id);
+  void removeServer(std::string_view Id, Removal Why);
 
   CatalogOptions m_Options;
   std::optional<Configuration> m_Configuration;
@@ -165,8 +184,8 @@
   IdRegistry<ServiceId> m_ServiceIds;
   IdRegistry<KindId> m_KindIds;
   std::map<std::string, RemovedServer, std::less<>> m_RemovedServers;
-  /// Servers whose removal is held back, and when it is due.
-  std::map<std::string, TimePoint, std::less<>> m_PendingRemovals;
+  /// Servers whose removal is held back.
+  std::map<std::string, PendingRemoval, std::less<>> m_PendingRemovals;
   TimePoint m_HoldRemovalsUntil{};
   std::uint32_t m_FleetSize = 1;
 };
--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -126,7 +126,12 @@
   /// \brief Position up to which the records of a stream are known; nothing before the first read.
   std::optional<Position> knownTo(Stream Which) const { return state(Which).m_Position; }
 
-  /// \brief The same for both streams; the first position before the first read.
+  /// \brief Whether the records of a stream are known up to a position.
+  bool knows(Stream Which, const Position &To) const {
+    return knownTo(Which).value_or(Position{}) >= To;
+  }
+
+  /// \brief What is known of both streams; the first position before the first read.
   SnapshotRequest known() const {
     return {.m_ConfigurationTo = knownTo(Stream::Configuration).value_or(Position{}),
             .m_ServersTo = knownTo(Stream::Servers).value_or(Position{})};
--- a/include/vanillahill/fleet/lapse_watch.hpp
+++ b/include/vanillahill/fleet/lapse_watch.hpp
@@ -38,6 +38,12 @@
     return true;
   }
 
+  /// \brief Called when the store has returned from a copy, which may lack records of live servers.
+  void startEra(TimePoint Now) {
+    m_SteadySince = Now;
+    m_MayHaveLapsedUntil = Now + GracePeriod;
+  }
+
   /// \brief Takes the report of another VM.
   /// \param IsSteady whether that VM has been current for SteadyTime
   /// \param MayHaveLapsed whether records may have lapsed as far as that VM knows
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -26,6 +26,8 @@
   std::vector<fleet::Record> m_Records;
   /// The records are a full snapshot: the newest record of every key.
   bool m_IsWhole = false;
+  /// The records are the difference from what was known in an earlier era.
+  bool m_IsNewEra = false;
 };
 
 /// Why a read of the store failed.
@@ -104,14 +106,14 @@
   void onRead(fleet::Stream Which, const std::optional<fleet::Position> &From, TimePoint AskedAt,
               StoreResult Result);
   void onReadFailed(fleet::Stream Which, const StoreFailure &Failed, TimePoint Now);
-  void noteEra();
+  void noteEra(TimePoint Now);
   void logOutdated(std::string_view Source, std::uint64_t Era);
   void recordCatalogCurrent(std::optional<TimePoint> Previous, TimePoint Now);
   bool applyRecords(fleet::Stream Which, const StoreRead &Read, std::vector<bool> &ShouldAnnounce,
                     TimePoint Now);
-  void addUnlisted(StoreRead &Listing) const;
   bool applyConfiguration(const std::string &Text);
-  bool applyServer(const fleet::Record &Entry, bool IsLogged, TimePoint Now);
+  bool applyServer(const fleet::Record &Entry, fleet::Removal Removed, bool IsLogged,
+                   TimePoint Now);
   void announce(fleet::StoreNews Announcement, TimePoint AskedAt, TimePoint Now);
   void publishSettings();
 
--- a/src/fleet/announcement.cpp
+++ b/src/fleet/announcement.cpp
@@ -1,6 +1,7 @@
 #include "vanillahill/fleet/announcement.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace vanillahill::fleet {
 
@@ -30,4 +31,21 @@
   return Announcement;
 }
 
+RecordRange rangeOf(const StoreNews &Announcement, TimePoint Now) {
+  return {.m_Stream = Announcement.m_Stream,
+          .m_From = Announcement.m_From,
+          .m_To = Announcement.m_To,
+          .m_AskedAt = Now - Announcement.m_Age};
+}
+
+void addUnlisted(const Catalog &Known, std::vector<Record> &Listing) {
+  std::set<std::string, std::less<>> Listed;
+  for (const Record &Entry : Listing) {
+    Listed.insert(Entry.m_Key);
+  }
+  for (std::string &Id : Known.missingFrom(Listed)) {
+    Listing.push_back({.m_Key = std::move(Id)});
+  }
+}
+
 } // namespace vanillahill::fleet
--- a/src/fleet/catalog.cpp
+++ b/src/fleet/catalog.cpp
@@ -50,8 +50,10 @@
 bool Catalog::apply(const ServerEntry &Entry, TimePoint Now) {
   const auto Removed = m_RemovedServers.find(Entry.m_Id);
   if (Removed != m_RemovedServers.end()) {
-    if (!isNewer(Entry.m_BornMillis, Entry.m_Sequence, Removed->second.m_BornMillis,
-                 Removed->second.m_Sequence)) {
+    const auto &[BornMillis, Sequence, Why] = Removed->second;
+    const bool IsWrittenAgain = Why == Removal::MissingFromCopy &&
+                                Entry.m_BornMillis == BornMillis && Entry.m_Sequence == Sequence;
+    if (!IsWrittenAgain && !isNewer(Entry.m_BornMillis, Entry.m_Sequence, BornMillis, Sequence)) {
       return false;
     }
     m_RemovedServers.erase(Removed);
@@ -66,6 +68,11 @@
   KnownServer &Current = Found->second;
   if (!isNewer(Entry.m_BornMillis, Entry.m_Sequence, Current.m_Entry.m_BornMillis,
                Current.m_Entry.m_Sequence)) {
+    const auto Pending = m_PendingRemovals.find(Entry.m_Id);
+    if (Pending != m_PendingRemovals.end() && Pending->second.m_Why == Removal::MissingFromCopy &&
+        isNewest(Entry)) {
+      m_PendingRemovals.erase(Pending);
+    }
     return false;
   }
   m_PendingRemovals.erase(Entry.m_Id);
@@ -84,29 +91,44 @@
   return Changed;
 }
 
-bool Catalog::remove(std::string_view Id, TimePoint Now) {
+bool Catalog::isNewest(const ServerEntry &Entry) const {
+  const auto Found = m_Servers.find(Entry.m_Id);
+  return Found != m_Servers.end() && Found->second.m_Entry.m_BornMillis == Entry.m_BornMillis &&
+         Found->second.m_Entry.m_Sequence == Entry.m_Sequence;
+}
+
+bool Catalog::remove(std::string_view Id, TimePoint Now, Removal Why) {
   const auto Found = m_Servers.find(Id);
   if (Found == m_Servers.end()) {
+    const auto Removed = m_RemovedServers.find(Id);
+    if (Removed != m_RemovedServers.end() && Why == Removal::Acknowledged) {
+      Removed->second.m_Why = Why;
+    }
     return false;
   }
   // A draining server is expected to leave; the record of another one may have lapsed while the
   // store was unavailable.
   if (Now < m_HoldRemovalsUntil && !Found->second.m_Entry.m_Draining) {
-    m_PendingRemovals.emplace(Id, m_HoldRemovalsUntil);
+    const auto [Pending, IsNew] =
+        m_PendingRemovals.try_emplace(std::string(Id), PendingRemoval{m_HoldRemovalsUntil, Why});
+    if (!IsNew && Why == Removal::Acknowledged) {
+      Pending->second.m_Why = Why;
+    }
     return false;
   }
-  removeServer(Id);
+  removeServer(Id, Why);
   return true;
 }
 
-void Catalog::removeServer(std::string_view Id) {
+void Catalog::removeServer(std::string_view Id, Removal Why) {
   const auto Found = m_Servers.find(Id);
   m_ServerIds.release(incarnationName(Found->second.m_Entry));
   if (m_RemovedServers.size() >= MaxRemovedServers) {
     m_RemovedServers.clear();
   }
   m_RemovedServers[Found->first] = {.m_BornMillis = Found->second.m_Entry.m_BornMillis,
-                                    .m_Sequence = Found->second.m_Entry.m_Sequence};
+                                    .m_Sequence = Found->second.m_Entry.m_Sequence,
+                                    .m_Why = Why};
   const auto Pending = m_PendingRemovals.find(Id);
   if (Pending != m_PendingRemovals.end()) {
     m_PendingRemovals.erase(Pending);
@@ -126,28 +148,28 @@
 
 void Catalog::releaseRemovals(TimePoint Now) {
   m_HoldRemovalsUntil = Now;
-  for (auto &[Id, Due] : m_PendingRemovals) {
-    Due = Now;
+  for (auto &[Id, Pending] : m_PendingRemovals) {
+    Pending.m_Due = Now;
   }
 }
 
 bool Catalog::tick(TimePoint Now) {
-  std::vector<std::string> DueIds;
-  for (const auto &[Id, Due] : m_PendingRemovals) {
-    if (Due <= Now) {
-      DueIds.push_back(Id);
+  std::vector<std::pair<std::string, Removal>> DueRemovals;
+  for (const auto &[Id, Pending] : m_PendingRemovals) {
+    if (Pending.m_Due <= Now) {
+      DueRemovals.emplace_back(Id, Pending.m_Why);
     }
   }
-  for (const std::string &Id : DueIds) {
-    removeServer(Id);
+  for (const auto &[Id, Why] : DueRemovals) {
+    removeServer(Id, Why);
   }
-  return !DueIds.empty();
+  return !DueRemovals.empty();
 }
 
 TimePoint Catalog::nextTimer() const {
   TimePoint Next = TimePoint::max();
-  for (const auto &[Id, Due] : m_PendingRemovals) {
-    Next = std::min(Next, Due);
+  for (const auto &[Id, Pending] : m_PendingRemovals) {
+    Next = std::min(Next, Pending.m_Due);
   }
   return Next;
 }
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -4,7 +4,6 @@
 #include "vanillahill/observe/log.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace vanillahill::net {
 
@@ -149,7 +148,7 @@
     return;
   }
   const bool IsUsable = m_Follower.answered(From, Result->m_To, Now);
-  noteEra();
+  noteEra(Now);
   if (!IsUsable) {
     logOutdated("store", Result->m_To.m_Era);
     runDueTasks();
@@ -166,8 +165,9 @@
     observe::log(LogLevel::Info, "store_regained", {});
   }
   recordCatalogCurrent(Previous, Now);
+  Result->m_IsNewEra = Read.m_KnownTo && Read.m_KnownTo->m_Era < Read.m_To.m_Era;
   if (Result->m_IsWhole && Which == Stream::Servers) {
-    addUnlisted(*Result);
+    fleet::addUnlisted(m_Catalog, Result->m_Records);
   }
   std::vector<bool> ShouldAnnounce;
   const bool Changed = applyRecords(Which, *Result, ShouldAnnounce, Now);
@@ -183,7 +183,7 @@
 
 void FleetClient::onReadFailed(Stream Which, const StoreFailure &Failed, TimePoint Now) {
   m_Follower.noteEra(Failed.m_Era, Now);
-  noteEra();
+  noteEra(Now);
   const bool IsPositionLost = Failed.m_IsPositionLost && Failed.m_Era == m_Follower.era();
   m_Follower.readFailed(Which, IsPositionLost, Now);
   observe::logFault("store_read_failed", Failed.m_Error);
@@ -196,11 +196,13 @@
 }
 
 /// Takes note of an era that the store or another VM told.
-void FleetClient::noteEra() {
+void FleetClient::noteEra(TimePoint Now) {
   if (m_Follower.era() == m_Era) {
     return;
   }
   m_Era = m_Follower.era();
+  m_Lapse.startEra(Now);
+  m_Catalog.holdRemovals(Now);
   observe::log(LogLevel::Warning, "store_era",
                {{"era", std::to_string(m_Era)},
                 {"configuration", toString(m_Follower.known().m_ConfigurationTo)},
@@ -226,27 +228,18 @@
   }
 }
 
-/// Adds a removal for each known server that a listing of all servers does not contain.
-void FleetClient::addUnlisted(StoreRead &Listing) const {
-  std::set<std::string, std::less<>> Listed;
-  for (const fleet::Record &Entry : Listing.m_Records) {
-    Listed.insert(Entry.m_Key);
-  }
-  for (std::string &Id : m_Catalog.missingFrom(Listed)) {
-    Listing.m_Records.push_back({.m_Key = std::move(Id)});
-  }
-}
-
 bool FleetClient::applyRecords(Stream Which, const StoreRead &Read,
                                std::vector<bool> &ShouldAnnounce, TimePoint Now) {
   std::size_t ChangedCount = 0;
   const bool LogsEach = !Read.m_IsWhole;
+  const auto Removed =
+      Read.m_IsNewEra ? fleet::Removal::MissingFromCopy : fleet::Removal::Acknowledged;
   for (const fleet::Record &Entry : Read.m_Records) {
     bool IsNew = false;
     if (Which == Stream::Servers) {
       // Other VMs may have carried out a removal that is held back here.
       const bool WasHeldBack = m_Catalog.isRemovalHeld(Entry.m_Key);
-      IsNew = applyServer(Entry, LogsEach && ChangedCount < MaxServerLines, Now);
+      IsNew = applyServer(Entry, Removed, LogsEach && ChangedCount < MaxServerLines, Now);
       ShouldAnnounce.push_back(IsNew || !Entry.m_Value || WasHeldBack);
     } else {
       const bool IsConfiguration = Entry.m_Key == m_Store.m_ConfigurationKey && Entry.m_Value;
@@ -280,10 +273,12 @@
   return true;
 }
 
+/// \param Removed why a record without a value is absent
 /// \param IsLogged a change gets a log line of its own
-bool FleetClient::applyServer(const fleet::Record &Entry, bool IsLogged, TimePoint Now) {
+bool FleetClient::applyServer(const fleet::Record &Entry, fleet::Removal Removed, bool IsLogged,
+                              TimePoint Now) {
   if (!Entry.m_Value) {
-    const bool Changed = m_Catalog.remove(Entry.m_Key, Now);
+    const bool Changed = m_Catalog.remove(Entry.m_Key, Now, Removed);
     m_ServerTexts.erase(Entry.m_Key);
     if (Changed && IsLogged) {
       observe::log(LogLevel::Info, "server_removed", {{"server", Entry.m_Key}});
@@ -296,7 +291,7 @@
     return false;
   }
   const bool Changed = m_Catalog.apply(*Decoded, Now);
-  if (m_Catalog.has(Entry.m_Key)) {
+  if (m_Catalog.isNewest(*Decoded)) {
     m_ServerTexts[Entry.m_Key] = *Entry.m_Value;
   }
   if (Changed && IsLogged) {
@@ -332,7 +327,7 @@
     return;
   }
   const auto &[Message, AskedAt] = *m_PendingRelay;
-  if (m_Follower.knownTo(Message.m_Stream).value_or(fleet::Position{}) >= Message.m_To) {
+  if (m_Follower.knows(Message.m_Stream, Message.m_To)) {
     relay(Message, AskedAt, Now);
     m_PendingRelay.reset();
   }
@@ -397,18 +392,13 @@
 
 void FleetClient::handleMessage(std::string_view Ip, const fleet::StoreNews &Message,
                                 TimePoint Now) {
-  const fleet::RecordRange Range{.m_Stream = Message.m_Stream,
-                                 .m_From = Message.m_From,
-                                 .m_To = Message.m_To,
-                                 .m_AskedAt = Now - Message.m_Age};
+  const fleet::RecordRange Range = fleet::rangeOf(Message, Now);
   if (Message.m_To.m_Era < m_Follower.era()) {
     logOutdated(Ip, Message.m_To.m_Era);
     return;
   }
   const bool HasRecords = !Message.m_IsPartial && m_Follower.reaches(Range);
-  const bool IsMissing =
-      !HasRecords &&
-      m_Follower.knownTo(Message.m_Stream).value_or(fleet::Position{}) < Message.m_To;
+  const bool IsMissing = !HasRecords && !m_Follower.knows(Message.m_Stream, Message.m_To);
   if (Message.m_IsForRelay && Message.m_IsPartial && IsMissing) {
     m_PendingRelay = {Message, Range.m_AskedAt};
   } else if (Message.m_IsForRelay) {
@@ -416,7 +406,7 @@
   }
   const auto Previous = m_Follower.currentAt(Message.m_Stream);
   const bool IsNew = !Message.m_IsPartial && m_Follower.heard(Range, Now);
-  noteEra();
+  noteEra(Now);
   if (m_Follower.currentAt(Message.m_Stream) != Previous) {
     recordCatalogCurrent(Previous, Now);
   }
@@ -427,8 +417,10 @@
     noteMissing(Ip, Message, Now);
   } else if (IsNew) {
     std::vector<bool> Ignored;
-    if (applyRecords(Message.m_Stream, {.m_To = Message.m_To, .m_Records = Message.m_Records},
-                     Ignored, Now)) {
+    const StoreRead Read{.m_To = Message.m_To,
+                         .m_Records = Message.m_Records,
+                         .m_IsNewEra = Message.m_From.m_Era < Message.m_To.m_Era};
+    if (applyRecords(Message.m_Stream, Read, Ignored, Now)) {
       publishSettings();
     }
   }
@@ -563,7 +555,7 @@
       !Received.m_ConfigurationText.empty() && applyConfiguration(Received.m_ConfigurationText);
   m_Follower.adopt(Stream::Configuration, Received.m_ConfigurationPosition,
                    AskedAt - Received.m_ConfigurationAge);
-  noteEra();
+  noteEra(Now);
   const auto KnownTo = m_Follower.knownTo(Stream::Servers);
   const bool IsOutdated = Received.m_ServersPosition.m_Era < m_Follower.era();
   if (IsOutdated) {
@@ -571,11 +563,13 @@
   } else if (!KnownTo || Received.m_ServersPosition > *KnownTo) {
     const auto Previous = m_Follower.currentAt(Stream::Servers);
     m_Follower.adopt(Stream::Servers, Received.m_ServersPosition, AskedAt - Received.m_ServersAge);
-    noteEra();
+    noteEra(Now);
     recordCatalogCurrent(Previous, Now);
-    StoreRead Listing{
-        .m_To = Received.m_ServersPosition, .m_Records = Received.m_Servers, .m_IsWhole = true};
-    addUnlisted(Listing);
+    StoreRead Listing{.m_To = Received.m_ServersPosition,
+                      .m_Records = Received.m_Servers,
+                      .m_IsWhole = true,
+                      .m_IsNewEra = KnownTo && KnownTo->m_Era < Received.m_ServersPosition.m_Era};
+    fleet::addUnlisted(m_Catalog, Listing.m_Records);
     std::vector<bool> Ignored;
     Changed = applyRecords(Stream::Servers, Listing, Ignored, Now) || Changed;
   }
--- a/tests/unit-catalog.cpp
+++ b/tests/unit-catalog.cpp
@@ -194,6 +194,52 @@
   EXPECT_EQ(serversOf(Known), 0U);
 }
 
+/// The store returned from a copy that lacks a server which registered in the last seconds; the
+/// server writes its record again, with the sequence that it had.
+TEST(Catalog, AServerThatACopyLacksIsUsedAgainWhenItsRecordIsWrittenAgain) {
+  Catalog Known;
+  Known.apply(configuration(4));
+  Known.apply(entry("alive", 5), Start);
+  Known.holdRemovals(Start);
+  EXPECT_FALSE(Known.remove("alive", Start, Removal::MissingFromCopy));
+  EXPECT_FALSE(Known.tick(Start + milliseconds(1900)));
+  EXPECT_FALSE(Known.apply(entry("alive", 4), Start)) << "a record older than the known one";
+  EXPECT_TRUE(Known.isRemovalHeld("alive"));
+  EXPECT_FALSE(Known.apply(entry("alive", 5), Start + milliseconds(1950))) << "nothing changes";
+  EXPECT_FALSE(Known.tick(Start + seconds(10)));
+  EXPECT_TRUE(Known.has("alive"));
+
+  Known.holdRemovals(Start);
+  Known.remove("alive", Start, Removal::MissingFromCopy);
+  EXPECT_TRUE(Known.tick(Start + seconds(2))) << "two seconds after the return it is gone";
+  EXPECT_FALSE(Known.has("alive"));
+  EXPECT_FALSE(Known.apply(entry("alive", 4), Start + seconds(3)));
+  EXPECT_TRUE(Known.apply(entry("alive", 5), Start + seconds(3))) << "written late";
+}
+
+/// The copy shows servers as ready that had left before.
+TEST(Catalog, ACopyBringsBackNoServerThatWasAcknowledgedAsGoneOrDraining) {
+  Catalog Known;
+  Known.apply(configuration(4));
+  Known.apply(entry("gone", 5), Start);
+  Known.remove("gone", Start);
+  Known.apply(entry("draining", 5), Start);
+  Known.apply(entry("draining", 6, true), Start);
+  Known.holdRemovals(Start);
+  EXPECT_FALSE(Known.apply(entry("gone", 5), Start));
+  EXPECT_FALSE(Known.apply(entry("draining", 5), Start));
+  EXPECT_FALSE(Known.has("gone"));
+  EXPECT_TRUE(Known.settings()->m_Services[0].m_Servers[0].m_Leaving);
+  EXPECT_TRUE(Known.apply(entry("gone", 6), Start)) << "a later sequence";
+
+  // Missing from the copy first, then its removal is acknowledged.
+  Known.remove("gone", Start, Removal::MissingFromCopy);
+  Known.remove("gone", Start, Removal::Acknowledged);
+  EXPECT_FALSE(Known.apply(entry("gone", 6), Start));
+  EXPECT_TRUE(Known.tick(Start + seconds(2)));
+  EXPECT_FALSE(Known.apply(entry("gone", 6), Start + seconds(3)));
+}
+
 TEST(Catalog, NamesTheServersThatAListingDoesNotContain) {
   Catalog Known;
   Known.apply(configuration(1));
--- a/tests/unit-fleet-client.cpp
+++ b/tests/unit-fleet-client.cpp
@@ -8,6 +8,7 @@
 using fleet::Record;
 using fleet::Stream;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 /// The store of a test: a log of server records and one configuration, without a network.
 struct Store {
@@ -15,6 +16,8 @@
   /// Offset of the oldest record that can still be read.
   std::size_t m_FirstKept = 0;
   std::uint64_t m_Era = 0;
+  /// Version of the configuration.
+  std::uint64_t m_Version = 1;
 
   /// Returns from a copy that lacks the newest records of servers.
   void returnFromCopy(std::size_t LostRecords) {
@@ -25,7 +28,7 @@
   StoreResult read(Stream Which, std::optional<std::uint64_t> From) {
     if (Which == Stream::Configuration) {
       return StoreRead{.m_To = {.m_Era = m_Era, .m_Offset = 1},
-                       .m_Records = {{"config", "1"}},
+                       .m_Records = {{"config", std::to_string(m_Version)}},
                        .m_IsWhole = !From};
     }
     if (From && (*From < m_FirstKept || *From > m_Servers.size())) {
@@ -54,8 +57,9 @@
   }
 };
 
-Result<fleet::Configuration> decodeConfiguration(std::string_view /*Text*/) {
-  return fleet::Configuration{.m_Version = 1, .m_Services = {{.m_Name = "svc"}}};
+Result<fleet::Configuration> decodeConfiguration(std::string_view Text) {
+  return fleet::Configuration{.m_Version = std::stoull(std::string(Text)),
+                              .m_Services = {{.m_Name = "svc"}}};
 }
 
 /// The text of a server's record is its sequence number.
@@ -186,6 +190,54 @@
   EXPECT_EQ(m_ServerReads["127.0.0.2"], 0) << "the other VM's listing is announced";
 }
 
+/// Servers that registered in the last seconds before the return are missing from the copy. They
+/// are alive, and were removed at once by every VM.
+TEST_F(FleetClientTest, ServersThatTheCopyLacksStayInUseUntilTheyAreWrittenAgain) {
+  Store Source{.m_Servers = {{"s1", "1"}, {"s2", "5"}, {"s3", "5"}}};
+  const auto Reader = start("127.0.0.1", ShortBound, {}, Source);
+  runUntil([&] { return Reader->isUsable(); });
+  const auto Other = start("127.0.0.2", LongBound, {"127.0.0.1"}, Source);
+  runUntil([&] { return Other->isUsable() && Reader->fleetSize() == 2; });
+  Source.returnFromCopy(2);
+  const auto ReturnedAt = SystemClock().now();
+  const auto TakesAtLeast = [&](Duration Least) {
+    return SystemClock().now() - ReturnedAt > Least;
+  };
+  runUntil([&] {
+    EXPECT_EQ(Reader->serverCount(), 3U);
+    EXPECT_EQ(Other->serverCount(), 3U);
+    return testing::Test::HasFailure() || TakesAtLeast(milliseconds(1500));
+  });
+  Source.m_Servers.push_back({"s2", "5"});
+  runUntil([&] { return Reader->serverCount() == 2 && Other->serverCount() == 2; });
+  EXPECT_TRUE(TakesAtLeast(seconds(2)));
+  EXPECT_TRUE(Reader->knows("s2") && Other->knows("s2")) << "written again, unchanged";
+  runUntil([&] { return TakesAtLeast(seconds(4)); });
+  EXPECT_TRUE(Reader->knows("s2") && Other->knows("s2"));
+}
+
+/// The copy shows an older record of a server and an older version of the configuration. A VM that
+/// starts then must not get these from a VM that knows better.
+TEST_F(FleetClientTest, AVmThatStartsInANewEraGetsTheNewestRecordsThatAnotherVmHas) {
+  Store Source{.m_Servers = {{"s1", "5"}, {"s1", "6"}}, .m_Version = 7};
+  const auto Reader = start("127.0.0.1", ShortBound, {}, Source);
+  runUntil([&] { return Reader->isUsable(); });
+  Source.m_Version = 5;
+  Source.returnFromCopy(1);
+  const int ReadsBefore = m_ServerReads["127.0.0.1"];
+  runUntil([&] { return m_ServerReads["127.0.0.1"] > ReadsBefore + 3; });
+  EXPECT_EQ(Reader->version(), 7U);
+  const auto Started = start("127.0.0.2", LongBound, {"127.0.0.1"}, Source);
+  runUntil([&] { return Started->isUsable(); });
+  EXPECT_EQ(Started->version(), 7U);
+  const auto Frame = fleet::decodeNews(Started->snapshotFrame({}));
+  ASSERT_TRUE(Frame);
+  const auto &Known = std::get<fleet::Snapshot>(*Frame);
+  ASSERT_EQ(Known.m_Servers.size(), 1U);
+  EXPECT_EQ(Known.m_Servers[0].m_Value, "6");
+  EXPECT_EQ(Known.m_ServersPosition, (fleet::Position{.m_Era = 1, .m_Offset = 1}));
+}
+
 /// A fleet of two data centres. One VM reads the store often, the others only at their start.
 class FleetClientTwoDataCenters : public FleetClientTest {
 protected:
--- a/tests/unit-news.cpp
+++ b/tests/unit-news.cpp
@@ -246,6 +246,18 @@
   EXPECT_FALSE(One.mayHaveLapsed(Back + LapseWatch::GracePeriod));
 }
 
+/// A VM in the new era that reports "nothing lapsed" would release the removals that others hold.
+TEST(LapseWatch, AfterAReturnFromACopyRecordsMayHaveLapsed) {
+  const TimePoint Start = TimePoint{} + std::chrono::hours(1);
+  LapseWatch Watch(seconds(2));
+  Watch.becameCurrent(std::nullopt, Start - seconds(10));
+  ASSERT_TRUE(Watch.isSteady(Start));
+  Watch.startEra(Start);
+  EXPECT_FALSE(Watch.isSteady(Start + milliseconds(1)));
+  EXPECT_TRUE(Watch.mayHaveLapsed(Start + LapseWatch::GracePeriod - milliseconds(1)));
+  EXPECT_FALSE(Watch.mayHaveLapsed(Start + LapseWatch::GracePeriod));
+}
+
 /// A request for an offset of one era must not be answered with that of another one.
 TEST(News, ASnapshotRequestNamesTheEra) {
   const SnapshotRequest Asked{.m_ConfigurationTo = {.m_Era = 2, .m_Offset = 40},
