Simulations of a store that returns from a copy, with 500 VMs

Each checks when all VMs are in the last era, how many listings that took, that no VM knows a position behind the store's end, that none took records which follow unknown ones, and how old the content is.

--- a/tests/unit-follower.cpp
+++ b/tests/unit-follower.cpp
@@ -367,8 +367,7 @@
     Duration m_Lost{};
   };
 
-  EraRun(std::vector<Return> Returns, bool TellsEra = true)
-      : m_Returns(std::move(Returns)), m_TellsEra(TellsEra) {
+  explicit EraRun(std::vector<Return> Returns) : m_Returns(std::move(Returns)) {
     for (std::size_t Vm = 0; Vm < Vms; ++Vm) {
       m_Vms.push_back(follower(Vm + 1));
       m_Vms.back().setFleetSize(Vms, LocalVms);
@@ -386,9 +385,13 @@
   TimePoint m_RestartAt = TimePoint::max();
   /// How long the store takes to answer.
   Duration m_ReadTime = milliseconds(30);
+  /// The records before this time are deleted then.
+  TimePoint m_DeletedAt = TimePoint::max();
   /// Listings asked for from this time on.
   TimePoint m_CountFrom = Start;
   std::size_t m_Listings = 0;
+  /// How often a VM took records that follow others of their era which it did not know.
+  std::size_t m_Skips = 0;
   /// When all VMs knew the last era in both streams; max() while they do not.
   TimePoint m_AllKnowAt = TimePoint::max();
 
@@ -404,7 +407,8 @@
            Due = m_Events.erase(Due)) {
         Due->second(Now);
       }
-      if (Now >= m_Returns.back().m_At && m_AllKnowAt == TimePoint::max() && allKnow(Now)) {
+      if (!m_Returns.empty() && Now >= m_Returns.back().m_At && m_AllKnowAt == TimePoint::max() &&
+          allKnow(Now)) {
         m_AllKnowAt = Now;
       }
     }
@@ -421,6 +425,15 @@
     return Largest;
   }
 
+  /// Number of VMs that know a position which the store does not have.
+  std::size_t vmsBehindTheEnd(TimePoint Now) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_Vms.begin(), m_Vms.end(), [&](const Follower &Reader) {
+          const SnapshotRequest Known = Reader.known();
+          return std::max(Known.m_ConfigurationTo, Known.m_ServersTo) > end(Now);
+        }));
+  }
+
 private:
   bool isAway(TimePoint Now) const {
     return std::any_of(m_Returns.begin(), m_Returns.end(),
@@ -441,7 +454,7 @@
       }
       End.m_Offset += static_cast<std::uint64_t>((One.m_AwayFrom - From) / RecordInterval);
       End.m_Offset -= static_cast<std::uint64_t>(One.m_Lost / RecordInterval);
-      End.m_Era += m_TellsEra ? 1 : 0;
+      ++End.m_Era;
       From = One.m_At;
     }
     End.m_Offset += static_cast<std::uint64_t>((Now - From) / RecordInterval);
@@ -484,7 +497,8 @@
       return;
     }
     const Position To = end(Now);
-    if (From && From->m_Offset > To.m_Offset) {
+    const bool IsDeleted = From && Now >= m_DeletedAt && *From < end(m_DeletedAt);
+    if (IsDeleted || (From && From->m_Offset > To.m_Offset)) {
       Reader.noteEra(To.m_Era, Now);
       Reader.readFailed(Which, true, Now);
       return;
@@ -492,6 +506,7 @@
     if (!Reader.answered(From, To, Now)) {
       return;
     }
+    m_Skips += From && From->m_Era != To.m_Era ? 1 : 0;
     const auto KnownTo = Reader.knownTo(Which);
     Reader.readSucceeded(Which, To, AskedAt, Now);
     const RecordRange Range{.m_Stream = Which,
@@ -509,7 +524,11 @@
         continue;
       }
       const bool IsMissing = !m_Vms[Vm].reaches(Range) && Range.m_To.m_Era >= m_Vms[Vm].era();
-      m_Vms[Vm].heard(Range, Now);
+      const Position Before = m_Vms[Vm].knownTo(Range.m_Stream).value_or(Position{});
+      const bool IsDifference = Range.m_From.m_Era < Range.m_To.m_Era;
+      const bool Follows = IsDifference ? toString(Before) == toString(Range.m_From)
+                                        : Before.m_Era == Range.m_From.m_Era;
+      m_Skips += m_Vms[Vm].heard(Range, Now) && !Follows ? 1 : 0;
       if (IsMissing) {
         m_Events.emplace(Now + Duration(FetchTime(m_Random)), [this, Vm, Range](TimePoint Ended) {
           if (!isCut(Vm, Ended)) {
@@ -521,7 +540,6 @@
   }
 
   std::vector<Return> m_Returns;
-  bool m_TellsEra;
   std::mt19937_64 m_Random{7};
   std::vector<Follower> m_Vms;
   std::multimap<TimePoint, std::function<void(TimePoint)>> m_Events;
@@ -539,6 +557,78 @@
   EXPECT_LT(Fleet.m_Listings, 80U);
 }
 
+/// No VM had a failed read: only those that read at the return list.
+TEST(Follower, AnEraDuringACalmDayCostsFewListings) {
+  const TimePoint ReturnAt = Start + seconds(6);
+  EraRun Fleet({{.m_AwayFrom = ReturnAt, .m_At = ReturnAt, .m_Lost = seconds(3)}});
+  Fleet.m_CountFrom = ReturnAt;
+  Fleet.run(ReturnAt + seconds(4));
+  EXPECT_LT(Fleet.m_AllKnowAt, ReturnAt + Bound);
+  EXPECT_LT(Fleet.m_Listings, 20U);
+  EXPECT_EQ(Fleet.m_Skips, 0U);
+  EXPECT_EQ(Fleet.vmsBehindTheEnd(ReturnAt + seconds(4)), 0U);
+  EXPECT_LT(Fleet.largestAge(ReturnAt + seconds(4)), Bound * 3 / 4);
+}
+
+/// A third of the VMs is cut off when the store returns, and meets the era from the others later.
+TEST(Follower, VmsThatWereCutOffTakeTheEraFromTheOthers) {
+  const TimePoint ReturnAt = Start + seconds(6);
+  EraRun Fleet({{.m_AwayFrom = ReturnAt - seconds(1), .m_At = ReturnAt, .m_Lost = seconds(3)}});
+  Fleet.m_CutVms = EraRun::Vms / 3;
+  Fleet.m_CutFrom = ReturnAt - seconds(3);
+  Fleet.m_CutTo = ReturnAt + seconds(5);
+  Fleet.m_CountFrom = Fleet.m_CutTo;
+  Fleet.run(Fleet.m_CutTo + seconds(4));
+  EXPECT_LT(Fleet.m_AllKnowAt, Fleet.m_CutTo + Bound);
+  EXPECT_LT(Fleet.m_Listings, 40U);
+  EXPECT_EQ(Fleet.m_Skips, 0U);
+  EXPECT_EQ(Fleet.vmsBehindTheEnd(Fleet.m_CutTo + seconds(4)), 0U);
+  EXPECT_LT(Fleet.largestAge(Fleet.m_CutTo + seconds(4)), Bound * 3 / 4);
+}
+
+/// Announcements of the first new era are on their way when the second one begins.
+TEST(Follower, TwoErasWithinASecondEndInTheLaterOne) {
+  const TimePoint ReturnAt = Start + seconds(6);
+  for (const Duration Between : {milliseconds(35), milliseconds(64), milliseconds(600)}) {
+    EraRun Fleet({{.m_AwayFrom = ReturnAt - seconds(1), .m_At = ReturnAt, .m_Lost = seconds(2)},
+                  {.m_AwayFrom = ReturnAt + Between, .m_At = ReturnAt + Between, .m_Lost = {}}});
+    Fleet.m_CountFrom = ReturnAt;
+    Fleet.run(ReturnAt + seconds(5));
+    EXPECT_LT(Fleet.m_AllKnowAt, ReturnAt + Between + Bound) << toMillis(Between);
+    EXPECT_LT(Fleet.m_Listings, 160U) << toMillis(Between);
+    EXPECT_EQ(Fleet.m_Skips, 0U);
+    EXPECT_EQ(Fleet.vmsBehindTheEnd(ReturnAt + seconds(5)), 0U);
+    EXPECT_LT(Fleet.largestAge(ReturnAt + seconds(5)), Bound * 3 / 4) << toMillis(Between);
+  }
+}
+
+/// All VMs lose power while the store is away, and start in the new era without any knowledge.
+TEST(Follower, AllVmsThatStartInANewEraKnowItSoon) {
+  const TimePoint ReturnAt = Start + seconds(6);
+  EraRun Fleet({{.m_AwayFrom = ReturnAt - seconds(1), .m_At = ReturnAt, .m_Lost = seconds(3)}});
+  Fleet.m_RestartAt = ReturnAt - milliseconds(300);
+  Fleet.m_CountFrom = ReturnAt;
+  Fleet.run(ReturnAt + seconds(4));
+  EXPECT_LT(Fleet.m_AllKnowAt, ReturnAt + Bound);
+  EXPECT_LT(Fleet.m_Listings, 120U);
+  EXPECT_EQ(Fleet.m_Skips, 0U);
+  EXPECT_EQ(Fleet.vmsBehindTheEnd(ReturnAt + seconds(4)), 0U);
+  EXPECT_LT(Fleet.largestAge(ReturnAt + seconds(4)), Bound * 3 / 4);
+}
+
+/// An older platform tells no era and answers 410 when it has deleted its history.
+TEST(Follower, WithoutAnEraAnAnsweredLostPositionCostsFewListings) {
+  const TimePoint DeletedAt = Start + seconds(6);
+  EraRun Fleet({});
+  Fleet.m_DeletedAt = DeletedAt;
+  Fleet.m_CountFrom = DeletedAt;
+  Fleet.run(DeletedAt + seconds(4));
+  EXPECT_EQ(Fleet.m_Skips, 0U);
+  EXPECT_EQ(Fleet.vmsBehindTheEnd(DeletedAt + seconds(4)), 0U);
+  EXPECT_LT(Fleet.m_Listings, 40U);
+  EXPECT_LT(Fleet.largestAge(DeletedAt + seconds(4)), Bound * 3 / 4);
+}
+
 TEST(Follower, AFleetStaysCurrentWithFewReads) {
   FleetRun Fleet(20, 0.0);
   Fleet.run(seconds(60));
