--- a/include/vanillahill/fleet/snapshot_fetcher.hpp
+++ b/include/vanillahill/fleet/snapshot_fetcher.hpp
@@ -37,14 +37,17 @@
 
   /// \brief Reports that another VM has records which are missing here.
   /// \param Ip the VM that has them
-  /// \param To offset behind the last of them
+  /// \param To position behind the last of them
   /// \param IsOffer the VM speaks to few others, or waits for this VM to relay: the fetch is due at
   /// once
-  void announced(std::string_view Ip, Stream Which, std::uint64_t To, bool IsOffer, TimePoint Now);
+  void announced(std::string_view Ip, Stream Which, const Position &To, bool IsOffer,
+                 TimePoint Now);
 
-  /// \brief Offsets up to which records are known to exist; zero for none.
+  /// \brief Positions up to which records are known to exist; the first position for none.
   const SnapshotRequest &wanted() const { return m_Wanted; }
-  bool hasWanted() const { return m_Wanted.m_ConfigurationTo > 0 || m_Wanted.m_ServersTo > 0; }
+  bool hasWanted() const {
+    return m_Wanted.m_ConfigurationTo > Position{} || m_Wanted.m_ServersTo > Position{};
+  }
 
   /// \brief Whether a fetch may start now, if a snapshot is needed.
   bool mayStart(TimePoint Now) const { return !m_IsFetching && Now >= m_NextAt; }
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "vanillahill/fleet/catalog.hpp"
+#include "vanillahill/fleet/failure_throttle.hpp"
 #include "vanillahill/fleet/follower.hpp"
 #include "vanillahill/fleet/lapse_watch.hpp"
 #include "vanillahill/fleet/news.hpp"
@@ -19,11 +20,13 @@
 
 /// Result of a read of the store.
 struct StoreRead {
-  /// Offset at which the next read starts.
-  std::uint64_t m_To = 0;
+  /// Position at which the next read starts.
+  fleet::Position m_To;
   std::vector<fleet::Record> m_Records;
   /// The records are a full snapshot: the newest record of every key.
   bool m_IsWhole = false;
+  /// The records are the difference from what was known in an earlier era.
+  bool m_IsNewEra = false;
 };
 
 /// Why a read of the store failed.
@@ -31,6 +34,8 @@
   Error m_Error;
   /// The store no longer has the records from the requested position on.
   bool m_IsPositionLost = false;
+  /// Era that the store told with its last answer; 0 when it has told none.
+  std::uint64_t m_Era = 0;
 };
 
 using StoreResult = boost::system::result<StoreRead, StoreFailure>;
@@ -91,22 +96,25 @@
 
   std::size_t fleetSize() const { return m_Peers.fleetSize(); }
   std::size_t serverCount() const { return m_Catalog.serverCount(); }
+  bool knows(std::string_view ServerId) const { return m_Catalog.has(ServerId); }
 
 private:
   void runDueTasks();
   void startTimer();
   void decideFirstReads(TimePoint Now);
-  void onRead(fleet::Stream Which, std::optional<std::uint64_t> From, TimePoint AskedAt,
+  void onRead(fleet::Stream Which, const std::optional<fleet::Position> &From, TimePoint AskedAt,
               StoreResult Result);
   void onReadFailed(fleet::Stream Which, const StoreFailure &Failed, TimePoint Now);
+  void noteEra(TimePoint Now);
+  void logOutdated(std::string_view Source, std::uint64_t Era);
   void recordCatalogCurrent(std::optional<TimePoint> Previous, TimePoint Now);
   bool applyRecords(fleet::Stream Which, const StoreRead &Read, std::vector<bool> &ShouldAnnounce,
                     TimePoint Now);
-  void addUnlisted(StoreRead &Listing) const;
   bool applyNewestConfiguration(std::span<const fleet::Record> Records,
                                 std::vector<bool> &ShouldAnnounce);
   std::optional<bool> applyConfiguration(const std::string &Text);
-  bool applyServer(const fleet::Record &Entry, bool IsLogged, TimePoint Now);
+  bool applyServer(const fleet::Record &Entry, fleet::Removal Removed, bool IsLogged,
+                   TimePoint Now);
   void announce(fleet::StoreNews Announcement, TimePoint AskedAt, TimePoint Now);
   void publishSettings();
 
@@ -130,12 +138,10 @@
                      TimePoint Now);
 
   fleet::VmInfo selfInfo() const;
-  bool hasFleetSizeChanged() const;
   void logFleetSize();
   void sendDueHellos();
   void sendHello(const std::string &Ip, bool AsksForPeers);
   void send(std::span<const std::string> Ips, const fleet::News &Message);
-  bool mayAnnounceFailure(ServerId Server, TimePoint Now);
 
   StoreAccess m_Store;
   std::shared_ptr<Datagrams> m_DatagramSocket;
@@ -144,6 +150,8 @@
   fleet::Catalog m_Catalog;
   fleet::Follower m_Follower;
   fleet::LapseWatch m_Lapse;
+  /// Era of the store that was last logged.
+  std::uint64_t m_Era = 0;
   fleet::Peers m_Peers;
   fleet::PieceCollector m_Pieces;
   fleet::SnapshotFetcher m_Fetcher;
@@ -154,9 +162,9 @@
   /// Number of the last message that was packed for sending, which may be split into pieces.
   std::uint64_t m_LastSplitMessage = 0;
   std::mt19937_64 m_Random;
-  /// Last frame that snapshotFrame() made, up to which offsets, and when.
+  /// Last frame that snapshotFrame() made, up to which positions, and when.
   std::string m_SnapshotFrame;
-  fleet::SnapshotRequest m_SnapshotOffsets;
+  fleet::SnapshotRequest m_SnapshotPositions;
   TimePoint m_SnapshotMadeAt{};
   /// An announcement to be relayed once its records were fetched, with the time of its read.
   std::optional<std::pair<fleet::StoreNews, TimePoint>> m_PendingRelay;
@@ -167,8 +175,7 @@
   std::size_t m_SettingsFleetSize = 1;
   /// Fleet size in the last log line about it.
   std::size_t m_LoggedFleetSize = 1;
-  /// When a failure of each server was last announced.
-  std::map<ServerId, TimePoint> m_FailureAnnouncedAt;
+  fleet::FailureThrottle m_FailureThrottle;
   bool m_Closed = false;
 };
 
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -19,6 +19,7 @@
     }
   }
   m_Reading = Next;
+  m_ReadFrom = Next ? position(*Next) : std::nullopt;
   return Next;
 }
 
@@ -33,14 +34,50 @@
   return std::max(Next, m_PausedUntil);
 }
 
-std::optional<std::uint64_t> Follower::position(Stream Which) const {
+std::optional<Position> Follower::position(Stream Which) const {
   const StreamState &State = state(Which);
-  const bool AreSeveralMissing = State.m_Position && State.m_AnnouncedTo > *State.m_Position + 1;
-  const bool IsListed =
-      State.m_IsPositionLost || (Which == Stream::Configuration && AreSeveralMissing);
+  const bool IsLost =
+      State.m_IsPositionLost || (State.m_Position && State.m_Position->m_Era < m_Era);
+  const bool AreSeveralMissing =
+      State.m_Position && State.m_AnnouncedTo.m_Offset > State.m_Position->m_Offset + 1;
+  const bool IsListed = IsLost || (Which == Stream::Configuration && AreSeveralMissing);
   return IsListed ? std::nullopt : State.m_Position;
 }
 
+bool Follower::hearEra(std::uint64_t Era) {
+  if (Era <= m_Era) {
+    return false;
+  }
+  m_Era = Era;
+  m_HasNotedOutdated = false;
+  return true;
+}
+
+void Follower::noteEra(std::uint64_t Era, TimePoint Now) {
+  if (!hearEra(Era)) {
+    return;
+  }
+  for (StreamState &State : m_Streams) {
+    State.m_NextReadAt = std::min(State.m_NextReadAt, Now);
+  }
+  if (m_Failures > 0) {
+    spreadFirstReads(m_LocalVms, Now);
+  }
+}
+
+bool Follower::answered(const std::optional<Position> &From, const Position &To, TimePoint Now) {
+  noteEra(To.m_Era, Now);
+  const bool IsOutdated = To.m_Era < m_Era;
+  if (!IsOutdated && (!From || From->m_Era == m_Era)) {
+    return true;
+  }
+  m_Reading.reset();
+  if (IsOutdated) {
+    pauseUntil(Now + InitialBackoff);
+  }
+  return false;
+}
+
 void Follower::spreadFirstReads(std::size_t LocalVms, TimePoint Now) {
   std::bernoulli_distribution ReadsNow(std::min(FirstReadVms / static_cast<double>(LocalVms), 1.0));
   if (ReadsNow(m_Random)) {
@@ -56,10 +93,13 @@
                      [](const StreamState &State) { return State.m_Position.has_value(); });
 }
 
-bool Follower::readSucceeded(Stream Which, std::uint64_t To, TimePoint AskedAt, TimePoint Now) {
+bool Follower::readSucceeded(Stream Which, const Position &To, TimePoint AskedAt, TimePoint Now) {
   m_Reading.reset();
+  noteEra(To.m_Era, Now);
   StreamState &State = state(Which);
-  State.m_Position = std::max(State.m_Position.value_or(0), To);
+  // After a lost position a lower one is valid, too: a store that tells no era may have gone back.
+  State.m_Position =
+      State.m_IsPositionLost ? To : std::max(State.m_Position.value_or(Position{}), To);
   State.m_IsPositionLost = false;
   State.m_CurrentAt = std::max(State.m_CurrentAt.value_or(AskedAt), AskedAt);
   State.m_ReadTime = Now - AskedAt;
@@ -72,8 +112,12 @@
 void Follower::readFailed(Stream Which, bool IsPositionLost, TimePoint Now) {
   m_Reading.reset();
   if (IsPositionLost) {
-    state(Which).m_IsPositionLost = true;
-    state(Which).m_NextReadAt = Now;
+    StreamState &State = state(Which);
+    // The position of a later era, which another VM may have told since, is not lost.
+    if (!m_ReadFrom || !State.m_Position || m_ReadFrom->m_Era == State.m_Position->m_Era) {
+      State.m_IsPositionLost = true;
+      State.m_NextReadAt = Now;
+    }
     return;
   }
   ++m_Failures;
@@ -84,10 +128,25 @@
   m_PausedUntil = Now + std::chrono::duration_cast<Duration>(Backoff * Spread(m_Random));
 }
 
+bool Follower::reaches(const RecordRange &Range) const {
+  const auto &Known = state(Range.m_Stream).m_Position;
+  if (!Known || *Known >= Range.m_To) {
+    return Known.has_value();
+  }
+  // A difference between eras holds only for a VM that knew the same as the one that made it.
+  return Range.m_From.m_Era == Range.m_To.m_Era
+             ? Known->m_Era == Range.m_From.m_Era && *Known >= Range.m_From
+             : *Known == Range.m_From;
+}
+
 bool Follower::heard(const RecordRange &Range, TimePoint Now) {
+  if (Range.m_To.m_Era < m_Era) {
+    return false;
+  }
+  hearEra(Range.m_To.m_Era);
   StreamState &State = state(Range.m_Stream);
   State.m_AnnouncedTo = std::max(State.m_AnnouncedTo, Range.m_To);
-  if (!State.m_Position || *State.m_Position < Range.m_From) {
+  if (!reaches(Range)) {
     // Records between the position and the range are missing.
     readSoon(Range.m_Stream, Range.m_To, Now);
     return false;
@@ -105,11 +164,12 @@
   return IsNew;
 }
 
-void Follower::adopt(Stream Which, std::uint64_t To, TimePoint CurrentAt) {
+void Follower::adopt(Stream Which, const Position &To, TimePoint CurrentAt) {
   StreamState &State = state(Which);
-  if (State.m_Position && *State.m_Position > To) {
+  if (To.m_Era < m_Era || (State.m_Position && *State.m_Position > To)) {
     return;
   }
+  hearEra(To.m_Era);
   State.m_Position = To;
   State.m_IsPositionLost = false;
   if (!State.m_CurrentAt || CurrentAt > *State.m_CurrentAt) {
@@ -118,13 +178,13 @@
   }
 }
 
-void Follower::readSoon(Stream Which, std::uint64_t To, TimePoint Now) {
+void Follower::readSoon(Stream Which, const Position &To, TimePoint Now) {
   readWithin(Which, To, FetchTimeShare, Now);
 }
 
-void Follower::readUnlessFetched(Stream Which, std::uint64_t To, TimePoint Now) {
+void Follower::readUnlessFetched(Stream Which, const Position &To, TimePoint Now) {
   const StreamState &State = state(Which);
-  const bool IsDue = State.m_AnnouncedTo >= To && State.m_Position.value_or(0) < To;
+  const bool IsDue = State.m_AnnouncedTo >= To && State.m_Position.value_or(Position{}) < To;
   if (IsDue) {
     // An announcement that is heard again draws no second time.
     return;
@@ -133,16 +193,16 @@
   readWithin(Which, To, Share(m_Random), Now);
 }
 
-void Follower::readWithin(Stream Which, std::uint64_t To, double BoundShare, TimePoint Now) {
+void Follower::readWithin(Stream Which, const Position &To, double BoundShare, TimePoint Now) {
   StreamState &State = state(Which);
   State.m_AnnouncedTo = std::max(State.m_AnnouncedTo, To);
-  if (State.m_Position.value_or(0) < To) {
+  if (State.m_Position.value_or(Position{}) < To) {
     const auto Wait = std::chrono::duration_cast<Duration>(m_Options.m_Bound * BoundShare);
     State.m_NextReadAt = std::min(State.m_NextReadAt, Now + Wait);
   }
 }
 
-std::uint64_t Follower::untoldFrom(const RecordRange &Range) const {
+Position Follower::untoldFrom(const RecordRange &Range) const {
   return std::clamp(state(Range.m_Stream).m_AnnouncedTo, Range.m_From, Range.m_To);
 }
 
--- a/src/fleet/snapshot_fetcher.cpp
+++ b/src/fleet/snapshot_fetcher.cpp
@@ -4,13 +4,13 @@
 
 namespace vanillahill::fleet {
 
-void SnapshotFetcher::announced(std::string_view Ip, Stream Which, std::uint64_t To, bool IsOffer,
+void SnapshotFetcher::announced(std::string_view Ip, Stream Which, const Position &To, bool IsOffer,
                                 TimePoint Now) {
-  const auto OffsetOf = [Which](SnapshotRequest &Offsets) -> std::uint64_t & {
-    return Which == Stream::Configuration ? Offsets.m_ConfigurationTo : Offsets.m_ServersTo;
+  const auto positionIn = [Which](SnapshotRequest &Positions) -> Position & {
+    return Which == Stream::Configuration ? Positions.m_ConfigurationTo : Positions.m_ServersTo;
   };
-  const bool IsNews = To > OffsetOf(m_Wanted);
-  OffsetOf(m_Wanted) = std::max(OffsetOf(m_Wanted), To);
+  const bool IsNews = To > positionIn(m_Wanted);
+  positionIn(m_Wanted) = std::max(positionIn(m_Wanted), To);
   Holder Added{.m_Ip = std::string(Ip)};
   const auto Found = std::find_if(m_Holders.begin(), m_Holders.end(),
                                   [Ip](const Holder &Known) { return Known.m_Ip == Ip; });
@@ -20,7 +20,7 @@
   } else if (m_Holders.size() == MaxHolders) {
     m_Holders.erase(m_Holders.begin());
   }
-  OffsetOf(Added.m_Has) = std::max(OffsetOf(Added.m_Has), To);
+  positionIn(Added.m_Has) = std::max(positionIn(Added.m_Has), To);
   m_Holders.push_back(std::move(Added));
   if (IsOffer) {
     m_HasHolderFailed = false;
--- a/tests/unit-snapshot-fetcher.cpp
+++ b/tests/unit-snapshot-fetcher.cpp
@@ -16,7 +16,7 @@
   std::set<TimePoint> Times;
   for (std::uint64_t Seed = 0; Seed < 40; ++Seed) {
     SnapshotFetcher Fetcher(Seed);
-    Fetcher.announced("10.0.0.1", Stream::Configuration, 5, false, Start);
+    Fetcher.announced("10.0.0.1", Stream::Configuration, {.m_Offset = 5}, false, Start);
     EXPECT_GE(Fetcher.nextAt(), Start);
     EXPECT_LE(Fetcher.nextAt(), Start + SnapshotFetcher::MaxDelay);
     Times.insert(Fetcher.nextAt());
@@ -26,26 +26,26 @@
 
 TEST(SnapshotFetcher, AnOfferIsTakenAtOnce) {
   SnapshotFetcher Fetcher(1);
-  Fetcher.announced("10.0.0.1", Stream::Configuration, 5, false, Start);
-  Fetcher.announced("10.0.0.2", Stream::Configuration, 5, true, Start);
+  Fetcher.announced("10.0.0.1", Stream::Configuration, {.m_Offset = 5}, false, Start);
+  Fetcher.announced("10.0.0.2", Stream::Configuration, {.m_Offset = 5}, true, Start);
   EXPECT_TRUE(Fetcher.mayStart(Start));
 }
 
 TEST(SnapshotFetcher, AVmThatHasOlderRecordsIsNoSource) {
   SnapshotFetcher Fetcher(1);
-  Fetcher.announced("10.0.0.1", Stream::Configuration, 5, false, Start);
-  Fetcher.announced("10.0.0.2", Stream::Configuration, 6, false, Start);
+  Fetcher.announced("10.0.0.1", Stream::Configuration, {.m_Offset = 5}, false, Start);
+  Fetcher.announced("10.0.0.2", Stream::Configuration, {.m_Offset = 6}, false, Start);
   for (int Draw = 0; Draw < 20; ++Draw) {
     EXPECT_EQ(Fetcher.drawHolder(), "10.0.0.2");
   }
-  Fetcher.announced("10.0.0.1", Stream::Servers, 90, false, Start);
+  Fetcher.announced("10.0.0.1", Stream::Servers, {.m_Offset = 90}, false, Start);
   EXPECT_FALSE(Fetcher.drawHolder()) << "no VM is known to have both";
 }
 
 TEST(SnapshotFetcher, ASourceThatFailsIsReplacedByAnother) {
   SnapshotFetcher Fetcher(1);
-  Fetcher.announced("10.0.0.1", Stream::Servers, 5, true, Start);
-  Fetcher.announced("10.0.0.2", Stream::Servers, 5, true, Start);
+  Fetcher.announced("10.0.0.1", Stream::Servers, {.m_Offset = 5}, true, Start);
+  Fetcher.announced("10.0.0.2", Stream::Servers, {.m_Offset = 5}, true, Start);
   Fetcher.started();
   EXPECT_FALSE(Fetcher.mayStart(Start));
   Fetcher.ended("10.0.0.2", false, Start);
@@ -95,7 +95,7 @@
   }
 
 private:
-  static constexpr std::uint64_t Offset = 7;
+  static constexpr Position Offset{.m_Offset = 7};
   /// 10 Mbit/s.
   static constexpr double BytesPerMilli = 1250.0;
 
