Settings: a server change rebuilds nothing that depends on the configuration only

Each change of one server built the kinds and routes anew: names as strings, looked up for each route and service, and a new table of routes. The count of a route's split started from 0 with each table, so between two changes of servers the first share was preferred, and with a change after each request one service got all of them.

The catalog builds kinds and routes once for a configuration (linear in the routes; before, routes times services). The settings of all later changes of servers share them, SiteSettings::m_Routes being a SharedList as well. The caller server keeps its table of routes while the lists are the same, so the counts of a split go on. A new configuration still starts them from 0.

--- a/include/vanillahill/fleet/catalog.hpp
+++ b/include/vanillahill/fleet/catalog.hpp
@@ -136,7 +136,8 @@
   std::uint64_t version() const { return m_Configuration ? m_Configuration->m_Version : 0; }
   std::size_t serverCount() const { return m_Servers.size(); }
 
-  /// \brief Builds the kernel settings from configuration and servers.
+  /// \brief Builds the kernel settings from configuration and servers. The routes and the kinds are
+  /// shared by all settings of one configuration.
   /// \return null without a configuration
   std::shared_ptr<const SiteSettings> settings() const;
 
@@ -152,13 +153,18 @@
     std::uint64_t m_Sequence = 0;
   };
 
-  ServiceSettings serviceSettings(const Service &Listed) const;
-  KindSettings kindSettings(const Route &Listed, std::string_view ServiceName) const;
+  void buildConfigured();
+  void addServer(const std::string &Id, const KnownServer &Server, SiteSettings &Settings) const;
   std::uint32_t reservedFleetSize() const;
   void removeServer(std::string_view Id);
 
   CatalogOptions m_Options;
   std::optional<Configuration> m_Configuration;
+  /// The part of the settings that depends on the configuration only. The settings of all server
+  /// changes share its routes and kinds.
+  SiteSettings m_Configured;
+  /// Positions in m_Configured.m_Services by name.
+  std::multimap<std::string, std::size_t, std::less<>> m_ServicePositions;
   std::map<std::string, KnownServer, std::less<>> m_Servers;
   /// Identifiers of server incarnations, and of every service and kind that was ever configured.
   IdRegistry<ServerId> m_ServerIds;
--- a/include/vanillahill/net/detail/caller_request.hpp
+++ b/include/vanillahill/net/detail/caller_request.hpp
@@ -37,6 +37,10 @@
 public:
   explicit RouteTable(const SiteSettings &Settings);
 
+  /// \brief Whether the table was made of copies of the same lists of routes and kinds, so that a
+  /// table made of these settings would be equal.
+  bool isMadeOf(const SiteSettings &Settings) const;
+
   /// A kind of request and its service.
   struct Route {
     ServiceId m_Service{};
@@ -68,6 +72,9 @@
 
   static const RouteShare &chooseShare(const HostRoute &Chosen);
 
+  /// What the table was made of; the services have no servers.
+  SharedList<RouteSettings> m_ListedRoutes;
+  std::vector<ServiceSettings> m_ListedServices;
   std::unordered_map<KindId, Route> m_Routes;
   /// Routes by host, the longest prefix first.
   std::unordered_map<std::string, std::vector<std::unique_ptr<HostRoute>>> m_Hosts;
--- a/include/vanillahill/settings/settings.hpp
+++ b/include/vanillahill/settings/settings.hpp
@@ -143,7 +143,7 @@
   std::vector<std::string> m_DataCenters;
   std::vector<ServiceSettings> m_Services;
   /// Routes by host and path; empty where the path names service and kind.
-  std::vector<RouteSettings> m_Routes;
+  SharedList<RouteSettings> m_Routes;
   CallerLimits m_Callers;
   IdempotencySettings m_Idempotency;
   MembershipSettings m_Membership;
--- a/src/fleet/catalog.cpp
+++ b/src/fleet/catalog.cpp
@@ -23,6 +23,17 @@
   return BornMillis != KnownBornMillis ? BornMillis > KnownBornMillis : Sequence > KnownSequence;
 }
 
+KindSettings kindSettings(const Route &Listed, KindId Id) {
+  return {.m_Id = Id,
+          .m_Name = Listed.m_Name,
+          .m_Weight = 1.0 / (1.0 + Listed.m_Priority),
+          .m_Deadline = Listed.m_Timeout,
+          .m_Idempotent = Listed.m_Idempotent,
+          .m_TargetLatency = Listed.m_TargetLatency,
+          .m_Priority = Listed.m_Priority,
+          .m_MaxAttempts = Listed.m_MaxAttempts};
+}
+
 /// A name that differs for each incarnation, so that a restarted server gets a new identifier.
 std::string incarnationName(const ServerEntry &Entry) {
   return Entry.m_Id + "#" + std::to_string(Entry.m_BornMillis);
@@ -35,16 +46,35 @@
     return false;
   }
   m_Configuration = std::move(Next);
+  buildConfigured();
+  return true;
+}
+
+void Catalog::buildConfigured() {
+  m_Configured = {};
+  m_Configured.m_Idempotency.m_Enabled = false;
+  m_Configured.m_Callers = m_Configuration->m_Limits;
+  m_ServicePositions.clear();
   for (const Service &Listed : m_Configuration->m_Services) {
-    m_ServiceIds.of(Listed.m_Name);
+    m_ServicePositions.emplace(Listed.m_Name, m_Configured.m_Services.size());
+    m_Configured.m_Services.push_back({.m_Id = m_ServiceIds.of(Listed.m_Name),
+                                       .m_Name = Listed.m_Name,
+                                       .m_HealthPath = Listed.m_HealthPath});
   }
   for (const Route &Listed : m_Configuration->m_Routes) {
+    RouteSettings Added{.m_Host = Listed.m_Host, .m_PathPrefix = Listed.m_PathPrefix};
     for (const TrafficShare &Share : Listed.m_Shares) {
-      m_ServiceIds.of(Share.m_Service);
-      m_KindIds.of(kindName(Listed, Share.m_Service));
+      const KindId Kind = m_KindIds.of(kindName(Listed, Share.m_Service));
+      Added.m_Shares.push_back({.m_Service = m_ServiceIds.of(Share.m_Service),
+                                .m_Kind = Kind,
+                                .m_Weight = Share.m_Weight});
+      const auto [First, Last] = m_ServicePositions.equal_range(Share.m_Service);
+      for (auto Position = First; Position != Last; ++Position) {
+        m_Configured.m_Services[Position->second].m_Kinds.push_back(kindSettings(Listed, Kind));
+      }
     }
+    m_Configured.m_Routes.push_back(std::move(Added));
   }
-  return true;
 }
 
 bool Catalog::apply(const ServerEntry &Entry, TimePoint Now) {
@@ -156,21 +186,18 @@
   if (!m_Configuration) {
     return nullptr;
   }
-  auto Settings = std::make_shared<SiteSettings>();
-  Settings->m_Idempotency.m_Enabled = false;
-  Settings->m_Callers = m_Configuration->m_Limits;
+  auto Settings = std::make_shared<SiteSettings>(m_Configured);
   Settings->m_Membership.m_MaxVms = reservedFleetSize();
-  for (const Service &Listed : m_Configuration->m_Services) {
-    Settings->m_Services.push_back(serviceSettings(Listed));
+  for (const auto &[Id, Server] : m_Servers) {
+    addServer(Id, Server, *Settings);
   }
-  for (const Route &Listed : m_Configuration->m_Routes) {
-    RouteSettings Added{.m_Host = Listed.m_Host, .m_PathPrefix = Listed.m_PathPrefix};
-    for (const TrafficShare &Share : Listed.m_Shares) {
-      Added.m_Shares.push_back({.m_Service = m_ServiceIds.at(Share.m_Service),
-                                .m_Kind = m_KindIds.at(kindName(Listed, Share.m_Service)),
-                                .m_Weight = Share.m_Weight});
-    }
-    Settings->m_Routes.push_back(std::move(Added));
+  for (ServiceSettings &Service : Settings->m_Services) {
+    Service.m_Policy = {.m_Name = m_Options.m_Policy,
+                        .m_ProbesPerSecond = m_Options.m_MeasuringBudget *
+                                             static_cast<double>(Service.m_Servers.size()) /
+                                             reservedFleetSize(),
+                        .m_RetryRatio = m_Options.m_RetryRatio,
+                        .m_RetryWindow = m_Options.m_RetryWindow};
   }
   return Settings;
 }
@@ -179,49 +206,21 @@
   return m_FleetSize + m_FleetSize / FleetReserveDivisor + 1;
 }
 
-KindSettings Catalog::kindSettings(const Route &Listed, std::string_view ServiceName) const {
-  return {.m_Id = m_KindIds.at(kindName(Listed, ServiceName)),
-          .m_Name = Listed.m_Name,
-          .m_Weight = 1.0 / (1.0 + Listed.m_Priority),
-          .m_Deadline = Listed.m_Timeout,
-          .m_Idempotent = Listed.m_Idempotent,
-          .m_TargetLatency = Listed.m_TargetLatency,
-          .m_Priority = Listed.m_Priority,
-          .m_MaxAttempts = Listed.m_MaxAttempts};
-}
-
-ServiceSettings Catalog::serviceSettings(const Service &Listed) const {
-  ServiceSettings Settings{.m_Id = m_ServiceIds.at(Listed.m_Name),
-                           .m_Name = Listed.m_Name,
-                           .m_Policy = {.m_Name = m_Options.m_Policy,
-                                        .m_RetryRatio = m_Options.m_RetryRatio,
-                                        .m_RetryWindow = m_Options.m_RetryWindow},
-                           .m_HealthPath = Listed.m_HealthPath};
-  for (const Route &Target : m_Configuration->m_Routes) {
-    for (const TrafficShare &Share : Target.m_Shares) {
-      if (Share.m_Service == Listed.m_Name) {
-        Settings.m_Kinds.push_back(kindSettings(Target, Listed.m_Name));
-      }
-    }
+void Catalog::addServer(const std::string &Id, const KnownServer &Server,
+                        SiteSettings &Settings) const {
+  const ServerEntry &Entry = Server.m_Entry;
+  const auto [First, Last] = m_ServicePositions.equal_range(Entry.m_Service);
+  for (auto Position = First; Position != Last; ++Position) {
+    Settings.m_Services[Position->second].m_Servers.push_back(
+        {.m_Id = Server.m_Id,
+         .m_Name = Id,
+         .m_Address = Entry.m_Address,
+         .m_DataCenter = Entry.m_DataCenter,
+         .m_Slots = Entry.m_Slots,
+         .m_MaxConnections = m_Configuration->m_Services[Position->second].m_MaxConnections,
+         .m_Leaving = Entry.m_Draining,
+         .m_ColdUntil = Server.m_ColdUntil});
   }
-  for (const auto &[Id, Server] : m_Servers) {
-    const ServerEntry &Entry = Server.m_Entry;
-    if (Entry.m_Service != Listed.m_Name) {
-      continue;
-    }
-    Settings.m_Servers.push_back({.m_Id = Server.m_Id,
-                                  .m_Name = Id,
-                                  .m_Address = Entry.m_Address,
-                                  .m_DataCenter = Entry.m_DataCenter,
-                                  .m_Slots = Entry.m_Slots,
-                                  .m_MaxConnections = Listed.m_MaxConnections,
-                                  .m_Leaving = Entry.m_Draining,
-                                  .m_ColdUntil = Server.m_ColdUntil});
-  }
-  Settings.m_Policy.m_ProbesPerSecond = m_Options.m_MeasuringBudget *
-                                        static_cast<double>(Settings.m_Servers.size()) /
-                                        reservedFleetSize();
-  return Settings;
 }
 
 } // namespace vanillahill::fleet
--- a/src/net/caller_request.cpp
+++ b/src/net/caller_request.cpp
@@ -69,8 +69,10 @@
 
 } // namespace
 
-RouteTable::RouteTable(const SiteSettings &Settings) {
+RouteTable::RouteTable(const SiteSettings &Settings) : m_ListedRoutes(Settings.m_Routes) {
   for (const auto &Service : Settings.m_Services) {
+    m_ListedServices.push_back(
+        {.m_Id = Service.m_Id, .m_Name = Service.m_Name, .m_Kinds = Service.m_Kinds});
     for (const auto &Kind : Service.m_Kinds) {
       auto Name = Service.m_Name + "/" + Kind.m_Name;
       const auto Id = idOf<KindId>(Name);
@@ -92,6 +94,15 @@
   }
 }
 
+bool RouteTable::isMadeOf(const SiteSettings &Settings) const {
+  return m_ListedRoutes.sharesWith(Settings.m_Routes) &&
+         std::equal(m_ListedServices.begin(), m_ListedServices.end(), Settings.m_Services.begin(),
+                    Settings.m_Services.end(), [](const auto &Left, const auto &Right) {
+                      return Left.m_Id == Right.m_Id && Left.m_Name == Right.m_Name &&
+                             Left.m_Kinds.sharesWith(Right.m_Kinds);
+                    });
+}
+
 const RouteShare *RouteTable::match(std::string_view Host, std::string_view Path) const {
   const auto Found = m_Hosts.find(std::string(Host));
   if (Found == m_Hosts.end()) {
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -97,7 +97,10 @@
 }
 
 void CallerServer::applySettings(const SiteSettings &Settings) {
-  auto Routes = std::make_shared<const RouteTable>(Settings);
+  auto Routes = routes();
+  if (!Routes || !Routes->isMadeOf(Settings)) {
+    Routes = std::make_shared<const RouteTable>(Settings);
+  }
   const std::lock_guard Lock(m_Mutex);
   m_Limits = Settings.m_Callers;
   m_Routes = std::move(Routes);
