Probed: a server that says that it is leaving gets nothing late

Callers saw: requests went to a server whose own replies said that it was leaving, until its record in the store said so too; with the store out of reach, until the server was gone.

Cause: the platform's dialect did not read Server-Leaving, and the policy set "probed" ignored AttemptEnded::m_ServerLeaving.

Change: the dialect reads the header of a server's own reply (own id and signed, or a refusal; a health reply only when it names the server). kernel/probed/fitness.hpp keeps the statement per incarnation, also while the server is not in the settings. isUsable(), which every choice of a server for a request, retry, hedge or probe asks, excludes such a server while another can be used, and in any case for requests that arrive later than the drain bound. The bound comes from the process settings. The header is not passed on to callers, who would take it for a statement of the VM. One log line, a counter, a field of the status. Other VMs are not told: the server says it in each reply and its record follows. dispatcher_report.cpp takes the reporting functions out of dispatcher.cpp, unchanged.

A connection that is kept open or a request that waits for one needs no further check: a request is bound by the time at which it arrived, and a late one is never dispatched.

With the header unread, AServersOwnReplySaysThatItIsLeaving, OnlyAHealthReplyThatNamesTheServerSaysThatItIsLeaving and AServerThatSaysThatItIsLeavingGetsNothingAfterTheDrainBound fail; with any reply's header read and passed on, AReplyThatIsNotTheServersOwnSaysNothingAboutIt, OnlyAHealthReply... and CallersAreNotToldThatAServerIsLeaving fail. RepliesOfOthersSayNothingAboutAServer passes with and without the change.

The policy sets "leased" and "naive" are as before.

--- a/include/vanillahill/fleet/catalog.hpp
+++ b/include/vanillahill/fleet/catalog.hpp
@@ -79,6 +79,8 @@
   std::string m_Policy = "probed";
   /// Probes per second that one backend server may receive from all VMs together.
   double m_MeasuringBudget = 10.0;
+  /// Time for which a leaving server still serves requests.
+  Duration m_DrainBound = std::chrono::seconds(2);
 };
 
 /// Holds the newest configuration and the servers, and merges both into settings. Not thread safe.
--- a/include/vanillahill/kernel/decision.hpp
+++ b/include/vanillahill/kernel/decision.hpp
@@ -36,6 +36,9 @@
   Refused,
   /// A server failed so often that other servers are preferred.
   ServerSetAside,
+  /// A server said that it is leaving; no further request is sent to it if another server can be
+  /// used.
+  ServerSaidLeaving,
 };
 
 /// \brief The name of a decision as written to logs.
@@ -44,7 +47,7 @@
 /// One decision. Fields that do not belong to its type keep their defaults.
 struct Decision {
   DecisionType m_Type = DecisionType::Placed;
-  /// Not set for ServerSetAside.
+  /// Not set for decisions about a server.
   std::optional<RequestId> m_Request;
   /// Name of the server concerned; empty if there is none.
   std::string m_Server = {};
--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -128,6 +128,8 @@
   std::optional<LoadReport> m_Load;
   /// A reply was received, healthy or not.
   bool m_Answered = false;
+  /// The server declared that it is leaving.
+  bool m_ServerLeaving = false;
   /// Another server has the address now.
   bool m_WrongServer = false;
 };
--- a/include/vanillahill/kernel/probed/backend_view.hpp
+++ b/include/vanillahill/kernel/probed/backend_view.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "vanillahill/kernel/events.hpp"
+#include "vanillahill/kernel/probed/fitness.hpp"
 #include "vanillahill/kernel/probed/work_estimate.hpp"
 
 #include <algorithm>
@@ -73,6 +74,11 @@
   /// time: 0 is as expected, 1 is twice as long.
   DecayingValue m_Slowness{SlownessTimeConstant};
   std::uint64_t m_Probes = 0;
+  /// What the server has said about itself.
+  Fitness m_Fitness;
+
+  /// \brief Whether the store's record or the server itself says that it is leaving.
+  bool isLeaving() const { return m_Settings.m_Leaving || m_Fitness.isLeaving(); }
 
   bool hasFreshLoad(TimePoint Now) const {
     return m_Load && Now - m_LoadReceivedAt <= ReportLifetime;
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -44,6 +44,9 @@
   std::optional<std::uint32_t> findKind(KindId Kind) const;
   BackendView *findBackend(ServerId Server);
   SearchCriteria criteriaOf(const Request &Pending) const;
+  Fitness &fitnessOf(ServerId Server);
+  void recordLeaving(ServerId Server, std::string_view Source, Duration Age, TimePoint Now,
+                     Actions &Out);
 
   // Searching for a server.
   void startSearch(Request &Pending, SearchPurpose Purpose, TimePoint Now, Actions &Out);
@@ -94,6 +97,7 @@
   DispatcherContext &m_Context;
   ServiceSettings m_Settings;
   std::vector<BackendView> m_Backends;
+  UnlistedFitness m_UnlistedFitness;
   std::vector<Kind> m_Kinds;
   std::vector<KindCounters> m_Counters;
   std::unordered_map<RequestId, Request> m_Requests;
--- a/include/vanillahill/kernel/probed/placement.hpp
+++ b/include/vanillahill/kernel/probed/placement.hpp
@@ -56,8 +56,18 @@
   bool m_Idempotent = false;
   /// Servers that the request was already sent to.
   std::span<const ServerId> m_Tried;
+  /// When the request arrived at this VM.
+  TimePoint m_Arrived{};
+  /// Time for which a server that says that it is leaving still serves requests.
+  Duration m_DrainBound{};
+  /// No other server may be used, so one that says that it is leaving may.
+  bool m_UsesLeaving = false;
 };
 
+/// \brief Whether a server may get a request. Every choice of a server for a request or a probe
+/// asks this.
+bool isUsable(const BackendView &Backend, const SearchCriteria &Criteria);
+
 /// One request's search for a server.
 struct Search {
   /// Servers considered so far: probed, or with a report that is still fresh.
--- a/include/vanillahill/kernel/status.hpp
+++ b/include/vanillahill/kernel/status.hpp
@@ -53,7 +53,10 @@
   std::uint32_t m_InFlight = 0;
   std::uint32_t m_SlotsHeld = 0;
   bool m_Ejected = false;
+  /// The settings or the server itself say that it is leaving.
   bool m_Leaving = false;
+  /// The server itself says that it is leaving.
+  bool m_SaidLeaving = false;
   std::uint64_t m_Probes = 0;
 };
 
--- a/include/vanillahill/settings/settings.hpp
+++ b/include/vanillahill/settings/settings.hpp
@@ -63,6 +63,9 @@
   std::uint32_t m_QueueLimit = 512;
   /// Time over which retries and hedges are counted against first attempts.
   Duration m_RetryWindow = std::chrono::seconds(10);
+  /// A server whose reply says that it is leaving gets no request that arrives later than this
+  /// after the reply. Used by the policy set "probed".
+  Duration m_DrainBound = std::chrono::seconds(2);
 };
 
 /// A set of interchangeable backend servers with the kinds of request that they serve.
--- a/src/fleet/catalog.cpp
+++ b/src/fleet/catalog.cpp
@@ -195,7 +195,8 @@
                            .m_Name = Listed.m_Name,
                            .m_Policy = {.m_Name = m_Options.m_Policy,
                                         .m_RetryRatio = m_Options.m_RetryRatio,
-                                        .m_RetryWindow = m_Options.m_RetryWindow},
+                                        .m_RetryWindow = m_Options.m_RetryWindow,
+                                        .m_DrainBound = m_Options.m_DrainBound},
                            .m_HealthPath = Listed.m_HealthPath};
   for (const Route &Target : m_Configuration->m_Routes) {
     for (const TrafficShare &Share : Target.m_Shares) {
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -55,11 +55,19 @@
   for (const ServerSettings &Server : m_Settings.m_Servers) {
     const BackendView *Known = findBackend(Server.m_Id);
     BackendView View = Known != nullptr ? *Known : BackendView{};
+    if (Known == nullptr) {
+      View.m_Fitness = m_UnlistedFitness.take(Server.m_Id);
+    }
     View.m_Settings = Server;
     View.m_IsLocal = Server.m_DataCenter == m_Context.m_DataCenter;
     Next.push_back(std::move(View));
   }
-  m_Backends = std::move(Next);
+  m_Backends.swap(Next);
+  for (const BackendView &Previous : Next) {
+    if (findBackend(Previous.m_Settings.m_Id) == nullptr) {
+      m_UnlistedFitness.keep(Previous.m_Settings.m_Id, Previous.m_Fitness);
+    }
+  }
   choosePreferred(m_Backends, m_Context.m_Self);
   // The indices have changed: running searches forget their servers and start a new round.
   for (const RequestId Id : m_SearchingRequests) {
@@ -109,9 +117,13 @@
 
 SearchCriteria Dispatcher::criteriaOf(const Request &Pending) const {
   const Kind &RequestKind = m_Kinds[Pending.m_Kind];
-  return {.m_Work = RequestKind.m_Work,
-          .m_Idempotent = RequestKind.m_Settings.m_Idempotent,
-          .m_Tried = {Pending.m_Tried.data(), Pending.m_Tried.size()}};
+  SearchCriteria Criteria{.m_Work = RequestKind.m_Work,
+                          .m_Idempotent = RequestKind.m_Settings.m_Idempotent,
+                          .m_Tried = {Pending.m_Tried.data(), Pending.m_Tried.size()},
+                          .m_Arrived = Pending.m_Arrived,
+                          .m_DrainBound = m_Settings.m_Policy.m_DrainBound};
+  Criteria.m_UsesLeaving = !hasUsableBackend(m_Backends, Criteria);
+  return Criteria;
 }
 
 void Dispatcher::arrive(RequestId Id, KindId Kind, TimePoint Deadline, TimePoint Now,
@@ -413,6 +425,9 @@
   const Attempt Sent = Found->second;
   m_Attempts.erase(Found);
   appendAttemptEnd(Sent, Ended, Now, Out);
+  if (Ended.m_ServerLeaving) {
+    recordLeaving(Sent.m_Server, "request", Now - Sent.m_Started, Now, Out);
+  }
   updateBackend(Sent, Ended, Now, Out);
   if (Sent.m_IsAdditional && Ended.m_Result == AttemptResult::NotSent) {
     m_RetryBudget.returnToken();
@@ -427,33 +442,6 @@
   checkInvariants();
 }
 
-void Dispatcher::appendAttemptEnd(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now,
-                                  Actions &Out) {
-  Decision Entry{.m_Type = DecisionType::AttemptEnded,
-                 .m_Request = Sent.m_Request,
-                 .m_Took = Now - Sent.m_Started,
-                 .m_Outcome = Sent.m_Cancelled ? "cancelled" : toString(Ended.m_Result),
-                 .m_Status = Ended.m_Reply ? Ended.m_Reply->m_Status : 0};
-  if (const BackendView *Backend = findBackend(Sent.m_Server)) {
-    addBackendState(Entry, *Backend, Now);
-  }
-  Out.push_back(std::move(Entry));
-}
-
-Decision Dispatcher::makeDecision(DecisionType Type, const Request &Pending, TimePoint Now) const {
-  return {.m_Type = Type,
-          .m_Request = Pending.m_Id,
-          .m_Took = Now - Pending.m_Arrived,
-          .m_TimeLeft = Pending.m_Deadline - Now};
-}
-
-void Dispatcher::addBackendState(Decision &Entry, const BackendView &Backend, TimePoint Now) {
-  Entry.m_Server = Backend.m_Settings.m_Name;
-  Entry.m_Load = Backend.m_Load;
-  Entry.m_LoadAge = Now - Backend.m_LoadReceivedAt;
-  Entry.m_Failures = Backend.m_FailureScore.value(Now);
-}
-
 void Dispatcher::addFailure(BackendView &Backend, double Weight, TimePoint Now, Actions &Out) {
   const bool WasSetAside = Backend.m_FailureScore.value(Now) >= SetAsideScore;
   Backend.addFailure(Weight, Now);
@@ -606,6 +594,11 @@
 
 void Dispatcher::probeEnded(const ProbeEnded &Ended, TimePoint Now, Actions &Out) {
   BackendView *Backend = findBackend(Ended.m_Server);
+  if (Ended.m_ServerLeaving) {
+    const bool IsTimed = Backend != nullptr && Backend->m_ProbeSince;
+    recordLeaving(Ended.m_Server, "probe", IsTimed ? Now - *Backend->m_ProbeSince : Duration{}, Now,
+                  Out);
+  }
   if (Backend == nullptr) {
     return;
   }
@@ -627,7 +620,7 @@
   } else if (!m_ReportsLoad) {
     m_ReportsLoad = false;
   }
-  if (Ended.m_Answered && !Ended.m_Healthy) {
+  if (Ended.m_Answered && !Ended.m_Healthy && !Ended.m_ServerLeaving) {
     addFailure(*Backend, UnhealthyProbeWeight, Now, Out);
   }
   advanceSearches(Now, Out);
@@ -749,29 +742,6 @@
   m_Requests.erase(Pending.m_Id);
 }
 
-void Dispatcher::appendMarks(TimePoint Now, std::vector<ServerId> &Avoid,
-                             std::vector<ServerId> & /*Leaving*/) const {
-  for (const BackendView &Backend : m_Backends) {
-    if (Backend.m_FailureScore.value(Now) >= SetAsideScore) {
-      Avoid.push_back(Backend.m_Settings.m_Id);
-    }
-  }
-}
-
-void Dispatcher::appendStatus(TimePoint Now, NodeStatus &Status) const {
-  Status.m_Kinds.insert(Status.m_Kinds.end(), m_Counters.begin(), m_Counters.end());
-  for (const BackendView &Backend : m_Backends) {
-    Status.m_Servers.push_back({.m_Server = Backend.m_Settings.m_Id,
-                                .m_Name = m_Settings.m_Name + "/" + Backend.m_Settings.m_Name,
-                                .m_InFlight = Backend.m_InFlight,
-                                .m_Ejected = Backend.m_FailureScore.value(Now) >= SetAsideScore,
-                                .m_Leaving = Backend.m_Settings.m_Leaving,
-                                .m_Probes = Backend.m_Probes});
-  }
-  Status.m_InFlight += m_Attempts.size();
-  Status.m_Queued += m_SearchingRequests.size();
-}
-
 void Dispatcher::checkInvariants() const {
 #ifndef NDEBUG
   std::size_t InFlight = 0;
--- /dev/null
+++ b/src/kernel/probed/dispatcher_report.cpp
@@ -0,0 +1,76 @@
+#include "vanillahill/kernel/probed/dispatcher.hpp"
+
+namespace vanillahill::kernel::probed {
+
+void Dispatcher::appendAttemptEnd(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now,
+                                  Actions &Out) {
+  Decision Entry{.m_Type = DecisionType::AttemptEnded,
+                 .m_Request = Sent.m_Request,
+                 .m_Took = Now - Sent.m_Started,
+                 .m_Outcome = Sent.m_Cancelled ? "cancelled" : toString(Ended.m_Result),
+                 .m_Status = Ended.m_Reply ? Ended.m_Reply->m_Status : 0};
+  if (const BackendView *Backend = findBackend(Sent.m_Server)) {
+    addBackendState(Entry, *Backend, Now);
+  }
+  Out.push_back(std::move(Entry));
+}
+
+Decision Dispatcher::makeDecision(DecisionType Type, const Request &Pending, TimePoint Now) const {
+  return {.m_Type = Type,
+          .m_Request = Pending.m_Id,
+          .m_Took = Now - Pending.m_Arrived,
+          .m_TimeLeft = Pending.m_Deadline - Now};
+}
+
+void Dispatcher::addBackendState(Decision &Entry, const BackendView &Backend, TimePoint Now) {
+  Entry.m_Server = Backend.m_Settings.m_Name;
+  Entry.m_Load = Backend.m_Load;
+  Entry.m_LoadAge = Now - Backend.m_LoadReceivedAt;
+  Entry.m_Failures = Backend.m_FailureScore.value(Now);
+}
+
+Fitness &Dispatcher::fitnessOf(ServerId Server) {
+  BackendView *Backend = findBackend(Server);
+  return Backend != nullptr ? Backend->m_Fitness : m_UnlistedFitness.at(Server);
+}
+
+/// \param Source what the server replied to
+/// \param Age how long ago that was sent
+void Dispatcher::recordLeaving(ServerId Server, std::string_view Source, Duration Age,
+                               TimePoint Now, Actions &Out) {
+  if (!fitnessOf(Server).recordLeaving(Now)) {
+    return;
+  }
+  choosePreferred(m_Backends, m_Context.m_Self);
+  Decision Entry{.m_Type = DecisionType::ServerSaidLeaving, .m_Took = Age, .m_Outcome = Source};
+  if (const BackendView *Backend = findBackend(Server)) {
+    addBackendState(Entry, *Backend, Now);
+  }
+  Out.push_back(std::move(Entry));
+}
+
+void Dispatcher::appendMarks(TimePoint Now, std::vector<ServerId> &Avoid,
+                             std::vector<ServerId> & /*Leaving*/) const {
+  for (const BackendView &Backend : m_Backends) {
+    if (Backend.m_FailureScore.value(Now) >= SetAsideScore) {
+      Avoid.push_back(Backend.m_Settings.m_Id);
+    }
+  }
+}
+
+void Dispatcher::appendStatus(TimePoint Now, NodeStatus &Status) const {
+  Status.m_Kinds.insert(Status.m_Kinds.end(), m_Counters.begin(), m_Counters.end());
+  for (const BackendView &Backend : m_Backends) {
+    Status.m_Servers.push_back({.m_Server = Backend.m_Settings.m_Id,
+                                .m_Name = m_Settings.m_Name + "/" + Backend.m_Settings.m_Name,
+                                .m_InFlight = Backend.m_InFlight,
+                                .m_Ejected = Backend.m_FailureScore.value(Now) >= SetAsideScore,
+                                .m_Leaving = Backend.isLeaving(),
+                                .m_SaidLeaving = Backend.m_Fitness.isLeaving(),
+                                .m_Probes = Backend.m_Probes});
+  }
+  Status.m_InFlight += m_Attempts.size();
+  Status.m_Queued += m_SearchingRequests.size();
+}
+
+} // namespace vanillahill::kernel::probed
--- a/src/kernel/probed/placement.cpp
+++ b/src/kernel/probed/placement.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-bool isUsable(const BackendView &Backend, const SearchCriteria &Criteria) {
-  const auto &Tried = Criteria.m_Tried;
-  return !Backend.m_Settings.m_Leaving &&
-         std::find(Tried.begin(), Tried.end(), Backend.m_Settings.m_Id) == Tried.end();
-}
-
 bool isSetAside(const BackendView &Backend, const SearchCriteria &Criteria, TimePoint Now) {
   const double Bound = Criteria.m_Idempotent ? SetAsideScore : SetAsideScoreNonIdempotent;
   return Backend.m_FailureScore.value(Now) >= Bound;
@@ -69,6 +63,16 @@
 
 } // namespace
 
+bool isUsable(const BackendView &Backend, const SearchCriteria &Criteria) {
+  const Fitness &Stated = Backend.m_Fitness;
+  if (Backend.m_Settings.m_Leaving || Stated.isTooLate(Criteria.m_Arrived, Criteria.m_DrainBound) ||
+      (Stated.isLeaving() && !Criteria.m_UsesLeaving)) {
+    return false;
+  }
+  const auto &Tried = Criteria.m_Tried;
+  return std::find(Tried.begin(), Tried.end(), Backend.m_Settings.m_Id) == Tried.end();
+}
+
 void choosePreferred(std::span<BackendView> Backends, VmId Self) {
   std::vector<std::pair<std::uint64_t, BackendIndex>> Ranked;
   for (BackendIndex Index = 0; Index < Backends.size(); ++Index) {
@@ -83,8 +87,8 @@
     std::size_t &Count = Backend.m_IsLocal ? LocalCount : RemoteCount;
     const std::size_t MaxCount = Backend.m_IsLocal ? MaxPreferredLocal : MaxPreferredRemote;
     // A leaving server does not count against the limit.
-    Backend.m_IsPreferred = Backend.m_Settings.m_Leaving || Count < MaxCount;
-    Count += Backend.m_Settings.m_Leaving ? 0 : 1;
+    Backend.m_IsPreferred = Backend.isLeaving() || Count < MaxCount;
+    Count += Backend.isLeaving() ? 0 : 1;
   }
 }
 
--- a/src/kernel/reasons.cpp
+++ b/src/kernel/reasons.cpp
@@ -74,6 +74,8 @@
     return "request_refused";
   case DecisionType::ServerSetAside:
     return "server_set_aside";
+  case DecisionType::ServerSaidLeaving:
+    return "server_said_leaving";
   }
   return "unknown";
 }
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -268,6 +268,7 @@
                               .m_Healthy = IsHealthy,
                               .m_Load = End.m_Load,
                               .m_Answered = End.m_Answered,
+                              .m_ServerLeaving = End.m_ServerLeaving,
                               .m_WrongServer = End.m_WrongServer});
     return;
   }
--- a/src/net/status_json.cpp
+++ b/src/net/status_json.cpp
@@ -55,6 +55,7 @@
           {"slots_held", Server.m_SlotsHeld},
           {"ejected", Server.m_Ejected},
           {"leaving", Server.m_Leaving},
+          {"said_leaving", Server.m_SaidLeaving},
           {"measuring_requests", Server.m_Probes}};
 }
 
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -80,6 +80,7 @@
   case DecisionType::Refused:
   case DecisionType::Retried:
   case DecisionType::ServerSetAside:
+  case DecisionType::ServerSaidLeaving:
     return true;
   case DecisionType::AttemptEnded:
     return Made.m_Outcome != "completed" && Made.m_Outcome != "cancelled";
--- a/src/observe/status_metrics.cpp
+++ b/src/observe/status_metrics.cpp
@@ -99,6 +99,9 @@
                         MetricType::Gauge);
   FamilyBuilder Leaving("vanillahill_server_leaving", "1 while a backend server is leaving",
                         MetricType::Gauge);
+  FamilyBuilder SaidLeaving("vanillahill_server_said_leaving_total",
+                            "Backend servers whose replies said that they are leaving",
+                            MetricType::Counter);
   FamilyBuilder Probes("vanillahill_server_measuring_requests_total",
                        "Measuring requests to a backend server", MetricType::Counter);
   for (const auto &Server : Status.m_Servers) {
@@ -106,11 +109,13 @@
     InFlight.add(LabelSet, Server.m_InFlight);
     Ejected.add(LabelSet, Server.m_Ejected ? 1 : 0);
     Leaving.add(LabelSet, Server.m_Leaving ? 1 : 0);
+    SaidLeaving.add(LabelSet, Server.m_SaidLeaving ? 1 : 0);
     Probes.add(LabelSet, static_cast<double>(Server.m_Probes));
   }
   InFlight.appendTo(Out);
   Ejected.appendTo(Out);
   Leaving.appendTo(Out);
+  SaidLeaving.appendTo(Out);
   Probes.appendTo(Out);
 }
 
--- a/tests/probed_harness.hpp
+++ b/tests/probed_harness.hpp
@@ -33,6 +33,8 @@
   bool m_ReportsLoad = true;
   AttemptResult m_Result = AttemptResult::Completed;
   std::uint32_t m_Status = 200;
+  /// Its replies say that it is leaving.
+  bool m_SaysLeaving = false;
   /// Attempts that wait for a slot.
   std::deque<AttemptId> m_Queue;
   /// The request of each attempt that it received.
@@ -53,6 +55,15 @@
   }
 };
 
+/// A request or probe that was sent to a server.
+struct Sent {
+  ServerId m_Server{};
+  TimePoint m_At{};
+  std::size_t m_Vm = 0;
+  /// Not set for a probe.
+  std::optional<RequestId> m_Request;
+};
+
 /// Runs the dispatchers of one or more VMs that share the servers. A probe takes 2 ms, or 250 ms at
 /// a server that does not answer probes. What one VM tells the others arrives after 1 ms.
 class DispatcherHarness {
@@ -110,6 +121,7 @@
   /// A request arrives at one of the VMs.
   RequestId arrive(KindId Kind, std::size_t Vm = 0) {
     const RequestId Request{++m_LastRequest};
+    m_ArrivedAt[Request] = m_Now;
     Actions Out;
     m_Dispatchers[Vm].arrive(Request, Kind, m_Now + m_Deadline, m_Now, Out);
     applyActions(Vm, Out);
@@ -171,6 +183,53 @@
   /// Failures that other VMs were told of.
   std::size_t failureReports() const { return m_FailureReports; }
   TimePoint now() const { return m_Now; }
+  /// When a request arrived; throws for an unknown one.
+  TimePoint arrivedAt(RequestId Request) const { return m_ArrivedAt.at(Request); }
+  /// When the first VM received the first reply to a request in which a server said that it is
+  /// leaving.
+  std::optional<TimePoint> saidLeavingAt(ServerId Server) const {
+    const auto Found = m_SaidLeavingAt.find(Server);
+    return Found == m_SaidLeavingAt.end() ? std::nullopt : std::optional(Found->second);
+  }
+  /// Everything that was sent to the servers, in order.
+  const std::vector<Sent> &sent() const { return m_Sent; }
+  /// Log lines of a type, in order.
+  std::vector<Decision> decisions(DecisionType Type) const {
+    std::vector<Decision> Found;
+    std::copy_if(m_Decisions.begin(), m_Decisions.end(), std::back_inserter(Found),
+                 [Type](const Decision &Each) { return Each.m_Type == Type; });
+    return Found;
+  }
+  NodeStatus status() const {
+    NodeStatus Status;
+    for (const Dispatcher &Each : m_Dispatchers) {
+      Each.appendStatus(m_Now, Status);
+    }
+    return Status;
+  }
+  /// Starts a further server and lists it.
+  void startServer(std::size_t Index) {
+    m_Settings.m_Servers.push_back({.m_Id = serverId(Index),
+                                    .m_Name = "s" + std::to_string(Index),
+                                    .m_DataCenter = "dc",
+                                    .m_Slots = 4});
+    m_Servers.emplace(serverId(Index), FakeServer{});
+    configure();
+  }
+  /// Removes a server from the settings; it goes on running.
+  ServerSettings delist(std::size_t Index) {
+    const auto Found =
+        std::find_if(m_Settings.m_Servers.begin(), m_Settings.m_Servers.end(),
+                     [Index](const auto &Listed) { return Listed.m_Id == serverId(Index); });
+    ServerSettings Removed = *Found;
+    m_Settings.m_Servers.erase(Found);
+    configure();
+    return Removed;
+  }
+  void list(const ServerSettings &Server) {
+    m_Settings.m_Servers.push_back(Server);
+    configure();
+  }
 
   /// Counts the attempts of a request at all servers.
   std::size_t attemptsOf(RequestId Request) const {
@@ -211,8 +270,8 @@
     for (const Action &Item : Requested) {
       if (const auto *Probed = std::get_if<Probe>(&Item)) {
         probe(Vm, Probed->m_Server);
-      } else if (const auto *Sent = std::get_if<Dispatch>(&Item)) {
-        dispatch(Vm, *Sent);
+      } else if (const auto *Wanted = std::get_if<Dispatch>(&Item)) {
+        dispatch(Vm, *Wanted);
       } else if (const auto *Cancelled = std::get_if<CancelAttempt>(&Item)) {
         cancel(Cancelled->m_Attempt);
       } else if (const auto *Final = std::get_if<kernel::Answer>(&Item)) {
@@ -223,6 +282,8 @@
         tellOthers(Vm, [Server = Failed->m_Server](Dispatcher &Other, TimePoint Now) {
           Other.peerMark(Server, false, Now);
         });
+      } else if (const auto *Made = std::get_if<Decision>(&Item)) {
+        m_Decisions.push_back(*Made);
       }
     }
   }
@@ -239,6 +300,7 @@
 
   void probe(std::size_t Vm, ServerId Server) {
     ++m_Probes;
+    m_Sent.push_back({.m_Server = Server, .m_At = m_Now, .m_Vm = Vm});
     ++m_Servers.at(Server).m_Probed;
     const FakeServer &Fake = m_Servers.at(Server);
     const Duration ProbeTime = Fake.m_AnswersProbes ? milliseconds(2) : milliseconds(250);
@@ -246,7 +308,8 @@
       const FakeServer &Probed = m_Servers.at(Server);
       ProbeEnded Ended{.m_Server = Server,
                        .m_Healthy = Probed.m_AnswersProbes,
-                       .m_Answered = Probed.m_AnswersProbes};
+                       .m_Answered = Probed.m_AnswersProbes,
+                       .m_ServerLeaving = Probed.m_AnswersProbes && Probed.m_SaysLeaving};
       if (Probed.m_AnswersProbes && Probed.m_ReportsLoad) {
         Ended.m_Load = loadOf(Probed);
       }
@@ -263,14 +326,16 @@
             .m_Slowdown = Fake.m_Slowdown};
   }
 
-  void dispatch(std::size_t Vm, const Dispatch &Sent) {
-    FakeServer &Fake = m_Servers.at(Sent.m_Server);
-    Fake.m_Received.push_back(Sent.m_Request);
-    m_Running.emplace(Sent.m_Attempt, RunningAttempt{.m_Server = Sent.m_Server, .m_Vm = Vm});
+  void dispatch(std::size_t Vm, const Dispatch &Wanted) {
+    FakeServer &Fake = m_Servers.at(Wanted.m_Server);
+    Fake.m_Received.push_back(Wanted.m_Request);
+    m_Sent.push_back(
+        {.m_Server = Wanted.m_Server, .m_At = m_Now, .m_Vm = Vm, .m_Request = Wanted.m_Request});
+    m_Running.emplace(Wanted.m_Attempt, RunningAttempt{.m_Server = Wanted.m_Server, .m_Vm = Vm});
     if (Fake.m_Running < Fake.m_Slots) {
-      startWork(Fake, Sent.m_Attempt);
+      startWork(Fake, Wanted.m_Attempt);
     } else {
-      Fake.m_Queue.push_back(Sent.m_Attempt);
+      Fake.m_Queue.push_back(Wanted.m_Attempt);
     }
   }
 
@@ -294,7 +359,8 @@
     if (Found == m_Running.end()) {
       return;
     }
-    FakeServer &Fake = m_Servers.at(Found->second.m_Server);
+    const ServerId Server = Found->second.m_Server;
+    FakeServer &Fake = m_Servers.at(Server);
     const std::size_t Vm = Found->second.m_Vm;
     m_Running.erase(Found);
     if (std::erase(Fake.m_Queue, Attempt) == 0) {
@@ -312,6 +378,11 @@
       FinalReply->m_Status = Fake.m_Status;
       Ended.m_Reply = std::move(FinalReply);
     }
+    Ended.m_ServerLeaving = Fake.m_SaysLeaving && (Ended.m_Result == AttemptResult::Completed ||
+                                                   Ended.m_Result == AttemptResult::NotRun);
+    if (Ended.m_ServerLeaving && Vm == 0) {
+      m_SaidLeavingAt.emplace(Server, Now);
+    }
     Actions Out;
     m_Dispatchers[Vm].attemptEnded(Ended, Now, Out);
     applyActions(Vm, Out);
@@ -330,6 +401,10 @@
   std::map<AttemptId, RunningAttempt> m_Running;
   std::map<RequestId, kernel::Answer> m_Answers;
   std::map<RequestId, TimePoint> m_AnsweredAt;
+  std::map<RequestId, TimePoint> m_ArrivedAt;
+  std::map<ServerId, TimePoint> m_SaidLeavingAt;
+  std::vector<Sent> m_Sent;
+  std::vector<Decision> m_Decisions;
   std::uint64_t m_LastRequest = 0;
   std::uint64_t m_LastOrder = 0;
   std::size_t m_Probes = 0;
--- /dev/null
+++ b/tests/unit-platform-dialect.cpp
@@ -0,0 +1,91 @@
+#include "dialect.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanillahill::wire {
+namespace {
+
+namespace http = net::http;
+using net::HttpReply;
+
+net::BackendExchange requestExchange() {
+  auto Request = std::make_shared<net::CallerRequest>();
+  Request->m_CallerId = "id-1";
+  return {.m_Id = 1, .m_Request = std::move(Request), .m_ServerName = "i-1"};
+}
+
+net::BackendExchange probeExchange() { return {.m_Id = 2, .m_ServerName = "i-1"}; }
+
+struct Header {
+  const char *m_Name;
+  const char *m_Value;
+};
+
+HttpReply replyOf(unsigned Status, std::initializer_list<Header> Headers) {
+  HttpReply Message;
+  Message.version(11);
+  Message.result(Status);
+  Message.body() = "body";
+  for (const Header &Each : Headers) {
+    Message.set(Each.m_Name, Each.m_Value);
+  }
+  return Message;
+}
+
+net::ExchangeEnd read(HttpReply Message, const net::BackendExchange &Exchange) {
+  return platformDialect().m_ReadReply(std::move(Message), Exchange);
+}
+
+constexpr Header OwnId{"Request-Id", "id-1"};
+constexpr Header Signature{"Response-Signature", "sig"};
+constexpr Header NotRun{"Not-Executed", "1"};
+constexpr Header Leaving{"Server-Leaving", "1"};
+
+TEST(PlatformDialect, AServersOwnReplySaysThatItIsLeaving) {
+  const auto Exchange = requestExchange();
+  EXPECT_TRUE(read(replyOf(200, {OwnId, Signature, Leaving}), Exchange).m_ServerLeaving);
+  EXPECT_TRUE(read(replyOf(500, {OwnId, Signature, Leaving}), Exchange).m_ServerLeaving);
+  EXPECT_TRUE(read(replyOf(503, {OwnId, NotRun, Leaving}), Exchange).m_ServerLeaving);
+  EXPECT_FALSE(read(replyOf(200, {OwnId, Signature}), Exchange).m_ServerLeaving);
+  EXPECT_FALSE(
+      read(replyOf(200, {OwnId, Signature, {"Server-Leaving", "0"}}), Exchange).m_ServerLeaving);
+  EXPECT_FALSE(
+      read(replyOf(200, {OwnId, Signature, {"Server-Leaving", ""}}), Exchange).m_ServerLeaving);
+}
+
+TEST(PlatformDialect, AReplyThatIsNotTheServersOwnSaysNothingAboutIt) {
+  const auto Exchange = requestExchange();
+  EXPECT_FALSE(read(replyOf(200, {OwnId, Leaving}), Exchange).m_ServerLeaving) << "unsigned";
+  EXPECT_FALSE(
+      read(replyOf(200, {OwnId, Signature, Leaving, {"Content-Encoding", "gzip"}}), Exchange)
+          .m_ServerLeaving);
+  EXPECT_FALSE(read(replyOf(421, {OwnId, NotRun, Leaving}), Exchange).m_ServerLeaving)
+      << "from the server that has the address now";
+  EXPECT_FALSE(platformDialect().m_BelongsTo(
+      replyOf(200, {{"Request-Id", "id-2"}, Signature, Leaving}), Exchange));
+}
+
+TEST(PlatformDialect, OnlyAHealthReplyThatNamesTheServerSaysThatItIsLeaving) {
+  const auto Exchange = probeExchange();
+  EXPECT_TRUE(read(replyOf(200, {{"Instance-Id", "i-1"}, Leaving}), Exchange).m_ServerLeaving);
+  EXPECT_TRUE(read(replyOf(503, {{"Instance-Id", "i-1"}, Leaving}), Exchange).m_ServerLeaving);
+  EXPECT_FALSE(read(replyOf(200, {{"Instance-Id", "i-2"}, Leaving}), Exchange).m_ServerLeaving);
+  EXPECT_FALSE(read(replyOf(200, {Leaving}), Exchange).m_ServerLeaving);
+}
+
+TEST(PlatformDialect, CallersAreNotToldThatAServerIsLeaving) {
+  const auto End =
+      read(replyOf(200, {OwnId, Signature, Leaving, {"X-Own", "kept"}}), requestExchange());
+  ASSERT_NE(End.m_Reply, nullptr);
+  const auto &Headers = End.m_Reply->m_Headers;
+  const auto Has = [&Headers](std::string_view Name) {
+    return std::any_of(Headers.begin(), Headers.end(),
+                       [Name](const ReplyHeader &Each) { return Each.m_Name == Name; });
+  };
+  EXPECT_FALSE(Has("Server-Leaving"));
+  EXPECT_TRUE(Has("X-Own"));
+  EXPECT_TRUE(Has("Response-Signature"));
+}
+
+} // namespace
+} // namespace vanillahill::wire
--- a/tests/unit-platform-front.cpp
+++ b/tests/unit-platform-front.cpp
@@ -268,6 +268,58 @@
   EXPECT_EQ(Leaving.served(), Served);
 }
 
+TEST_F(FrontTest, AServerThatSaysThatItIsLeavingGetsNothingAfterTheDrainBound) {
+  PlatformServer Server("i-1", [](const BackendRequest &Request) {
+    return PlatformServer::reply(Request, "200 OK", "whole", "Server-Leaving: 1\r\n");
+  });
+  m_Store.put("keyed.op", "config", configuration(3));
+  add(Server);
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  const auto First = Vm.ask("/look/1");
+  ASSERT_EQ(First.result_int(), 200U);
+  EXPECT_EQ(First.count("Server-Leaving"), 0U);
+  m_Store.setFault(StoreFault::Answers503);
+  // The drain bound of the process.
+  std::this_thread::sleep_for(std::chrono::milliseconds(250));
+  EXPECT_EQ(Vm.ask("/look/2").result_int(), 503U);
+  EXPECT_EQ(Server.served(), 1);
+  EXPECT_NE(Vm.metrics().find("vanillahill_server_said_leaving_total{server=\"svc/i-1\"} 1"),
+            std::string::npos);
+}
+
+TEST_F(FrontTest, RepliesOfOthersSayNothingAboutAServer) {
+  const std::string Leaving = "Server-Leaving: 1\r\n";
+  const PlatformServer::ReplyFunction Replies[] = {
+      [&Leaving](const BackendRequest &Request) {
+        std::string Cut = PlatformServer::reply(Request, "200 OK", "whole", Leaving);
+        Cut.pop_back();
+        return Cut.replace(Cut.find("HTTP/1.1 200 OK\r\n") + 17, 0, "Connection: close\r\n");
+      },
+      [&Leaving](const BackendRequest &Request) {
+        BackendRequest Other = Request;
+        Other.set("Request-Id", "other");
+        return PlatformServer::reply(Other, "200 OK", "whole", Leaving) +
+               PlatformServer::reply(Request, "200 OK", "whole");
+      },
+      [&Leaving](const BackendRequest &Request) {
+        return PlatformServer::reply(Request, "200 OK", "whole") +
+               PlatformServer::reply(Request, "200 OK", "whole", Leaving);
+      }};
+  for (const auto &Reply : Replies) {
+    FakeStore Store;
+    PlatformServer Server("i-1", Reply);
+    Store.put("keyed.op", "config", configuration(3));
+    Store.put("keyed.servers", "i-1", Server.record());
+    RunningFront Vm(Store);
+    Vm.awaitReady();
+    Vm.ask("/post/1", "POST");
+    EXPECT_EQ(Server.served(), 1);
+    EXPECT_NE(Vm.metrics().find("vanillahill_server_said_leaving_total{server=\"svc/i-1\"} 0"),
+              std::string::npos);
+  }
+}
+
 TEST_F(FrontTest, KeepsServingWhileTheStoreFails) {
   PlatformServer Server("i-1");
   m_Store.put("keyed.op", "config", configuration(3));
