Probed: a server that asks for a pause gets nothing until it ends

Callers and servers saw: a server that turned requests away with 503 and Retry-After went on getting requests and probes at the usual rate, as the header was not read.

Change: the dialect reads Retry-After of a server's own 503 (request: own id and signed, or a refusal; health reply: it names the server) as seconds with or without a fraction. Zero, dates and what is no number ask for nothing; a pause is at most LongestPause, 10 minutes. Fitness keeps the pause with the other statements, and isUsable() excludes the server from all choices of a server. The pause begins with the reply. When it ends, this VM has one request at the server and then more, up to all slots after PauseRecoveryTime. With no server left, a request is refused at once as servers_paused; its Retry-After is the earliest end (10 s at most) and 0.1 s to 1 s, at random. Requests that wait for a connection to such a server end as not sent, are placed elsewhere without a token of the retry budget, and do not count as failures of the server. One log line for the begin and one for the first use afterwards, counters, fields of the status.

A server's Retry-After reaches no caller with a 503, since such a reply is never passed on; with any other status it is for the caller and is passed on unchanged.

First try: from_chars takes "inf", which became a pause of 10 minutes; the test of decodePause() showed it.

Not closed: a request that is placed while the reply is on its way from the connection to the kernel may still wait for a connection during the pause.

--- a/include/vanillahill/kernel/decision.hpp
+++ b/include/vanillahill/kernel/decision.hpp
@@ -39,6 +39,10 @@
   /// A server said that it is leaving; no further request is sent to it if another server can be
   /// used.
   ServerSaidLeaving,
+  /// A server asked for a pause; nothing is sent to it until the pause ends.
+  ServerPaused,
+  /// The first request or probe was sent to a server after a pause.
+  ServerPauseEnded,
 };
 
 /// \brief The name of a decision as written to logs.
@@ -56,7 +60,7 @@
   Duration m_LoadAge{};
   /// Recent failures of the server; older ones count less.
   double m_Failures = 0.0;
-  /// Expected time until the server's reply.
+  /// Expected time until the server's reply, or length of a pause.
   Duration m_Expected{};
   /// Servers that were asked for their load.
   std::uint32_t m_Asked = 0;
--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -43,6 +43,8 @@
   Overload,
   /// No backend server of the service may be used.
   NoServer,
+  /// Every server that could be used has asked for a pause.
+  ServersPaused,
   /// Every allowed attempt was refused before it started.
   AttemptsRefused,
   /// The retry budget is used up.
@@ -114,6 +116,8 @@
   ReplyPtr m_Reply;
   /// The server declared that it is leaving.
   bool m_ServerLeaving = false;
+  /// How long the server wants no request from this VM; zero if it did not say.
+  Duration m_PauseFor{};
   /// Set when the reply told the server's load.
   std::optional<LoadReport> m_Load;
   /// Another server has the address now.
@@ -130,6 +134,8 @@
   bool m_Answered = false;
   /// The server declared that it is leaving.
   bool m_ServerLeaving = false;
+  /// How long the server wants no request from this VM; zero if it did not say.
+  Duration m_PauseFor{};
   /// Another server has the address now.
   bool m_WrongServer = false;
 };
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -43,8 +43,12 @@
   void assignKinds();
   std::optional<std::uint32_t> findKind(KindId Kind) const;
   BackendView *findBackend(ServerId Server);
-  SearchCriteria criteriaOf(const Request &Pending) const;
+  SearchCriteria criteriaOf(const Request &Pending, TimePoint Now) const;
   Fitness &fitnessOf(ServerId Server);
+  void recordPause(ServerId Server, Duration Length, std::string_view Source, Duration Age,
+                   TimePoint Now, Actions &Out);
+  static void noticePauseEnd(BackendView &Backend, TimePoint Now, Actions &Out);
+  Duration timeUntilResumed(TimePoint PauseEnd, TimePoint Now);
   void recordLeaving(ServerId Server, std::string_view Source, Duration Age, TimePoint Now,
                      Actions &Out);
 
--- a/include/vanillahill/kernel/probed/fitness.hpp
+++ b/include/vanillahill/kernel/probed/fitness.hpp
@@ -6,12 +6,17 @@
 #include "vanillahill/core/ids.hpp"
 #include "vanillahill/core/time.hpp"
 
+#include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 
 namespace vanillahill::kernel::probed {
 
+/// After a pause, a server gets more and more requests at once from this VM, for so long.
+inline constexpr Duration PauseRecoveryTime = std::chrono::seconds(1);
+
 /// The statements of one incarnation of a backend server. A later incarnation has another ServerId
 /// and starts without any.
 class Fitness {
@@ -36,14 +41,68 @@
     return m_LeavingSince && Arrived > *m_LeavingSince + DrainBound;
   }
 
+  /// \brief Records a reply with which the server asks for a pause. Pauses that overlap are joined;
+  /// a later and shorter one does not end an earlier one.
+  /// \param Length time for which the server wants no request, not zero
+  /// \return whether a pause begins
+  bool recordPause(Duration Length, TimePoint Now) {
+    const bool Begins = !isPaused(Now);
+    if (Begins) {
+      m_PausedSince = Now;
+      ++m_Pauses;
+    }
+    m_PausedUntil = std::max(m_PausedUntil, Now + Length);
+    m_IsEndUnnoticed = true;
+    return Begins;
+  }
+
+  /// \brief Whether the server wants no request now.
+  bool isPaused(TimePoint Now) const { return Now < m_PausedUntil; }
+
+  /// \brief End of the last pause; TimePoint::min() when there was none.
+  TimePoint pausedUntil() const { return m_PausedUntil; }
+
+  /// \brief How many requests this VM may have in flight at the server: none during a pause, then
+  /// one, growing to all slots.
+  std::uint32_t maxInFlight(std::uint32_t Slots, TimePoint Now) const {
+    if (isPaused(Now)) {
+      return 0;
+    }
+    if (m_PausedUntil == TimePoint::min() || Now - m_PausedUntil >= PauseRecoveryTime) {
+      return UINT32_MAX;
+    }
+    const std::chrono::duration<double> Since = Now - m_PausedUntil;
+    const std::chrono::duration<double> Whole = PauseRecoveryTime;
+    return std::max(static_cast<std::uint32_t>(Slots * (Since / Whole)), 1U);
+  }
+
+  /// \brief Called when something is sent to the server.
+  /// \return how long ago the last pause began, the first time after its end
+  std::optional<Duration> noticePauseEnd(TimePoint Now) {
+    if (!m_IsEndUnnoticed) {
+      return std::nullopt;
+    }
+    m_IsEndUnnoticed = false;
+    return Now - m_PausedSince;
+  }
+
+  /// \brief How many pauses have begun.
+  std::uint64_t pauses() const { return m_Pauses; }
+
   /// \brief Whether there is anything to remember.
-  bool isEmpty() const { return !m_LeavingSince; }
+  bool isEmpty() const { return !m_LeavingSince && m_Pauses == 0; }
 
-  /// \brief When the server made its last statement; TimePoint::min() without one.
-  TimePoint statedAt() const { return m_LeavingSince.value_or(TimePoint::min()); }
+  /// \brief The latest time that a statement names; TimePoint::min() without one.
+  TimePoint statedAt() const {
+    return std::max(m_LeavingSince.value_or(TimePoint::min()), m_PausedUntil);
+  }
 
 private:
   std::optional<TimePoint> m_LeavingSince;
+  TimePoint m_PausedSince{};
+  TimePoint m_PausedUntil = TimePoint::min();
+  std::uint64_t m_Pauses = 0;
+  bool m_IsEndUnnoticed = false;
 };
 
 /// Statements of servers that the settings do not list at present. The record of a server may lapse
--- a/include/vanillahill/kernel/probed/placement.hpp
+++ b/include/vanillahill/kernel/probed/placement.hpp
@@ -66,7 +66,7 @@
 
 /// \brief Whether a server may get a request. Every choice of a server for a request or a probe
 /// asks this.
-bool isUsable(const BackendView &Backend, const SearchCriteria &Criteria);
+bool isUsable(const BackendView &Backend, const SearchCriteria &Criteria, TimePoint Now);
 
 /// One request's search for a server.
 struct Search {
@@ -127,6 +127,12 @@
                                                 std::mt19937_64 &Random);
 
 /// \brief Whether any server may take the request, now or later.
-bool hasUsableBackend(std::span<const BackendView> Backends, const SearchCriteria &Criteria);
+bool hasUsableBackend(std::span<const BackendView> Backends, const SearchCriteria &Criteria,
+                      TimePoint Now);
+
+/// \brief When the first of the paused servers may be used by a request that arrives anew.
+/// \return nothing when a server may be used now, or when none is paused
+std::optional<TimePoint> firstPauseEnd(std::span<const BackendView> Backends,
+                                       const SearchCriteria &Criteria, TimePoint Now);
 
 } // namespace vanillahill::kernel::probed
--- a/include/vanillahill/kernel/status.hpp
+++ b/include/vanillahill/kernel/status.hpp
@@ -57,6 +57,10 @@
   bool m_Leaving = false;
   /// The server itself says that it is leaving.
   bool m_SaidLeaving = false;
+  /// How much longer the server wants no request from this VM.
+  Duration m_PauseLeft{};
+  /// Pauses that it has asked this VM for.
+  std::uint64_t m_Pauses = 0;
   std::uint64_t m_Probes = 0;
 };
 
--- a/include/vanillahill/net/detail/backend_exchange.hpp
+++ b/include/vanillahill/net/detail/backend_exchange.hpp
@@ -27,6 +27,8 @@
   kernel::AttemptResult m_Result = kernel::AttemptResult::Unknown;
   ReplyPtr m_Reply = nullptr;
   bool m_ServerLeaving = false;
+  /// How long the server wants no request from this VM; zero if it did not say.
+  Duration m_PauseFor{};
   std::optional<kernel::LoadReport> m_Load = std::nullopt;
   /// Another server now has this address.
   bool m_WrongServer = false;
--- a/include/vanillahill/net/detail/backend_pool.hpp
+++ b/include/vanillahill/net/detail/backend_pool.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <mutex>
 #include <set>
+#include <span>
 #include <unordered_map>
 
 namespace vanillahill::net {
@@ -111,6 +112,8 @@
   void onReleased(const BackendConnectionPtr &Connection);
   void onClosed(const BackendConnectionPtr &Connection, bool WasConnecting);
   void finishExchange(std::uint64_t Id, ExchangeEnd End);
+  std::vector<std::uint64_t> takeWaitingRequests(ServerId Target);
+  void endUnsent(std::span<const std::uint64_t> Ids);
 
   asio::io_context &m_Io;
   const std::string m_VmName;
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -115,14 +115,14 @@
   return Found == m_Backends.end() ? nullptr : &*Found;
 }
 
-SearchCriteria Dispatcher::criteriaOf(const Request &Pending) const {
+SearchCriteria Dispatcher::criteriaOf(const Request &Pending, TimePoint Now) const {
   const Kind &RequestKind = m_Kinds[Pending.m_Kind];
   SearchCriteria Criteria{.m_Work = RequestKind.m_Work,
                           .m_Idempotent = RequestKind.m_Settings.m_Idempotent,
                           .m_Tried = {Pending.m_Tried.data(), Pending.m_Tried.size()},
                           .m_Arrived = Pending.m_Arrived,
                           .m_DrainBound = m_Settings.m_Policy.m_DrainBound};
-  Criteria.m_UsesLeaving = !hasUsableBackend(m_Backends, Criteria);
+  Criteria.m_UsesLeaving = !hasUsableBackend(m_Backends, Criteria, Now);
   return Criteria;
 }
 
@@ -153,7 +153,7 @@
 
 void Dispatcher::startRound(Request &Pending, TimePoint Now, Actions &Out) {
   Search &CurrentSearch = *Pending.m_Search;
-  const SearchCriteria Criteria = criteriaOf(Pending);
+  const SearchCriteria Criteria = criteriaOf(Pending, Now);
   ++CurrentSearch.m_Rounds;
   CurrentSearch.m_RoundBegin = CurrentSearch.m_Sampled.size();
   const Duration Wait = std::clamp(toDuration(m_ProbeSeconds.value() * ProbeWaitMultiple),
@@ -189,6 +189,7 @@
   if (Backend.m_ProbeSince || Backend.hasFreshLoad(Now)) {
     return false;
   }
+  noticePauseEnd(Backend, Now, Out);
   Backend.m_ProbeSince = Now;
   ++Backend.m_Probes;
   m_ProbeBudget.takeToken();
@@ -215,7 +216,7 @@
     }
     Request &Pending = Found->second;
     const auto Best =
-        findCheapest(m_Backends, criteriaOf(Pending), Pending.m_Search->m_Sampled, Now);
+        findCheapest(m_Backends, criteriaOf(Pending, Now), Pending.m_Search->m_Sampled, Now);
     // An idle and quick server ends the round; else the replies of the others are awaited, as an
     // emptier one may be among them.
     if ((Best && Best->m_IsGood && Best->m_IsIdle) || isRoundOver(*Pending.m_Search, Now)) {
@@ -225,7 +226,7 @@
 }
 
 void Dispatcher::finishRound(Request &Pending, TimePoint Now, Actions &Out) {
-  const SearchCriteria Criteria = criteriaOf(Pending);
+  const SearchCriteria Criteria = criteriaOf(Pending, Now);
   const auto Best = findCheapest(m_Backends, Criteria, Pending.m_Search->m_Sampled, Now);
   const bool IsGood = Best && Best->m_IsGood;
   // A request is not refused on the word of few servers: for that, the last probes are used.
@@ -260,7 +261,8 @@
     }
     return;
   }
-  const auto Chosen = chooseWithoutReport(m_Backends, criteriaOf(Pending), Now, m_Context.m_Random);
+  const auto Chosen =
+      chooseWithoutReport(m_Backends, criteriaOf(Pending, Now), Now, m_Context.m_Random);
   if (Chosen) {
     placeRequest(Pending, *Chosen, Now, Out);
     return;
@@ -319,6 +321,7 @@
 
 void Dispatcher::sendAttempt(Request &Pending, BackendIndex Index, TimePoint Now, Actions &Out) {
   BackendView &Backend = m_Backends[Index];
+  noticePauseEnd(Backend, Now, Out);
   const Attempt Sent{.m_Id = AttemptId{m_Context.m_NextAttempt++},
                      .m_Request = Pending.m_Id,
                      .m_Kind = Pending.m_Kind,
@@ -428,6 +431,9 @@
   if (Ended.m_ServerLeaving) {
     recordLeaving(Sent.m_Server, "request", Now - Sent.m_Started, Now, Out);
   }
+  if (Ended.m_PauseFor > Duration::zero()) {
+    recordPause(Sent.m_Server, Ended.m_PauseFor, "request", Now - Sent.m_Started, Now, Out);
+  }
   updateBackend(Sent, Ended, Now, Out);
   if (Sent.m_IsAdditional && Ended.m_Result == AttemptResult::NotSent) {
     m_RetryBudget.returnToken();
@@ -482,7 +488,10 @@
     addFailure(*Backend, Ended.m_WrongServer ? SetAsideScore : RefusedRequestWeight, Now, Out);
     return;
   case AttemptResult::NotSent:
-    addFailure(*Backend, 1.0, Now, Out);
+    // During a pause, requests that wait for a connection are not sent.
+    if (!Backend->m_Fitness.isPaused(Now)) {
+      addFailure(*Backend, 1.0, Now, Out);
+    }
     return;
   case AttemptResult::Unknown:
     if (Sent.m_WasNearlyFull) {
@@ -565,7 +574,7 @@
     return false;
   }
   const bool HasTime = Now + toDuration(RequestKind.m_Work.usualSeconds()) < Pending.m_Deadline;
-  if (!HasTime || !hasUsableBackend(m_Backends, criteriaOf(Pending)) ||
+  if (!HasTime || !hasUsableBackend(m_Backends, criteriaOf(Pending, Now), Now) ||
       (IsCharged && !m_RetryBudget.tryTakeToken())) {
     return false;
   }
@@ -580,6 +589,12 @@
     completeRequest(Pending, ReplyPtr(Pending.m_FailedReply), Now, Out);
     return;
   }
+  if (!Pending.m_MayHaveRun) {
+    if (const auto End = firstPauseEnd(m_Backends, criteriaOf(Pending, Now), Now)) {
+      refuseRequest(Pending, Reason::ServersPaused, timeUntilResumed(*End, Now), Now, Out);
+      return;
+    }
+  }
   constexpr double ShortestSeconds = 0.1;
   constexpr double LongestSeconds = 0.3;
   std::uniform_real_distribution<double> Jitter(ShortestSeconds, LongestSeconds);
@@ -594,10 +609,13 @@
 
 void Dispatcher::probeEnded(const ProbeEnded &Ended, TimePoint Now, Actions &Out) {
   BackendView *Backend = findBackend(Ended.m_Server);
+  const bool IsTimed = Backend != nullptr && Backend->m_ProbeSince;
+  const Duration Age = IsTimed ? Now - *Backend->m_ProbeSince : Duration{};
   if (Ended.m_ServerLeaving) {
-    const bool IsTimed = Backend != nullptr && Backend->m_ProbeSince;
-    recordLeaving(Ended.m_Server, "probe", IsTimed ? Now - *Backend->m_ProbeSince : Duration{}, Now,
-                  Out);
+    recordLeaving(Ended.m_Server, "probe", Age, Now, Out);
+  }
+  if (Ended.m_PauseFor > Duration::zero()) {
+    recordPause(Ended.m_Server, Ended.m_PauseFor, "probe", Age, Now, Out);
   }
   if (Backend == nullptr) {
     return;
--- a/src/kernel/probed/dispatcher_report.cpp
+++ b/src/kernel/probed/dispatcher_report.cpp
@@ -49,6 +49,45 @@
   Out.push_back(std::move(Entry));
 }
 
+/// \param Length how long the server wants no request
+/// \param Source what the server replied to
+/// \param Age how long ago that was sent
+void Dispatcher::recordPause(ServerId Server, Duration Length, std::string_view Source,
+                             Duration Age, TimePoint Now, Actions &Out) {
+  if (!fitnessOf(Server).recordPause(Length, Now)) {
+    return;
+  }
+  Decision Entry{.m_Type = DecisionType::ServerPaused,
+                 .m_Expected = Length,
+                 .m_Took = Age,
+                 .m_Outcome = Source};
+  if (const BackendView *Backend = findBackend(Server)) {
+    addBackendState(Entry, *Backend, Now);
+  }
+  Out.push_back(std::move(Entry));
+}
+
+void Dispatcher::noticePauseEnd(BackendView &Backend, TimePoint Now, Actions &Out) {
+  const auto Age = Backend.m_Fitness.noticePauseEnd(Now);
+  if (!Age) {
+    return;
+  }
+  Decision Entry{.m_Type = DecisionType::ServerPauseEnded, .m_Took = *Age};
+  addBackendState(Entry, Backend, Now);
+  Out.push_back(std::move(Entry));
+}
+
+/// Retry-After of a request that is refused because the servers are paused. The callers are spread
+/// over the time in which the first server takes more and more requests again.
+Duration Dispatcher::timeUntilResumed(TimePoint PauseEnd, TimePoint Now) {
+  // New servers may start before the pauses end.
+  constexpr Duration LongestWait = std::chrono::seconds(10);
+  constexpr Duration ShortestSpread = std::chrono::milliseconds(100);
+  std::uniform_int_distribution<Duration::rep> Spread(ShortestSpread.count(),
+                                                      PauseRecoveryTime.count());
+  return std::min<Duration>(PauseEnd - Now, LongestWait) + Duration(Spread(m_Context.m_Random));
+}
+
 void Dispatcher::appendMarks(TimePoint Now, std::vector<ServerId> &Avoid,
                              std::vector<ServerId> & /*Leaving*/) const {
   for (const BackendView &Backend : m_Backends) {
@@ -67,6 +106,10 @@
                                 .m_Ejected = Backend.m_FailureScore.value(Now) >= SetAsideScore,
                                 .m_Leaving = Backend.isLeaving(),
                                 .m_SaidLeaving = Backend.m_Fitness.isLeaving(),
+                                .m_PauseLeft = Backend.m_Fitness.isPaused(Now)
+                                                   ? Backend.m_Fitness.pausedUntil() - Now
+                                                   : Duration{},
+                                .m_Pauses = Backend.m_Fitness.pauses(),
                                 .m_Probes = Backend.m_Probes});
   }
   Status.m_InFlight += m_Attempts.size();
--- a/src/kernel/probed/placement.cpp
+++ b/src/kernel/probed/placement.cpp
@@ -33,7 +33,7 @@
   Groups Out;
   for (BackendIndex Index = 0; Index < Backends.size(); ++Index) {
     const BackendView &Backend = Backends[Index];
-    if (!isUsable(Backend, Criteria)) {
+    if (!isUsable(Backend, Criteria, Now)) {
       continue;
     }
     Out.m_PreferredCount += Backend.m_IsPreferred ? 1 : 0;
@@ -63,10 +63,11 @@
 
 } // namespace
 
-bool isUsable(const BackendView &Backend, const SearchCriteria &Criteria) {
+bool isUsable(const BackendView &Backend, const SearchCriteria &Criteria, TimePoint Now) {
   const Fitness &Stated = Backend.m_Fitness;
   if (Backend.m_Settings.m_Leaving || Stated.isTooLate(Criteria.m_Arrived, Criteria.m_DrainBound) ||
-      (Stated.isLeaving() && !Criteria.m_UsesLeaving)) {
+      (Stated.isLeaving() && !Criteria.m_UsesLeaving) ||
+      Backend.m_InFlight >= Stated.maxInFlight(Backend.slots(), Now)) {
     return false;
   }
   const auto &Tried = Criteria.m_Tried;
@@ -140,7 +141,7 @@
   for (BackendIndex Index = 0; Index < Backends.size(); ++Index) {
     const BackendView &Backend = Backends[Index];
     if (Backend.hasRecentLoad(Now) && !Backend.m_ProbeSince && Backend.m_IsPreferred &&
-        isUsable(Backend, Criteria) && !isSetAside(Backend, Criteria, Now) &&
+        isUsable(Backend, Criteria, Now) && !isSetAside(Backend, Criteria, Now) &&
         std::find(Sampled.begin(), Sampled.end(), Index) == Sampled.end()) {
       Ranked.emplace_back(costOf(Backend, Criteria, Now), Index);
     }
@@ -159,7 +160,7 @@
   std::optional<Candidate> Best;
   for (const BackendIndex Index : Sampled) {
     const BackendView &Backend = Backends[Index];
-    if (Backend.m_ProbeSince || !Backend.m_Load || !isUsable(Backend, Criteria)) {
+    if (Backend.m_ProbeSince || !Backend.m_Load || !isUsable(Backend, Criteria, Now)) {
       continue;
     }
     const double Usual = Criteria.m_Work.usualSeconds();
@@ -203,10 +204,34 @@
   return RelativeLoad(Second) < RelativeLoad(First) ? Second : First;
 }
 
-bool hasUsableBackend(std::span<const BackendView> Backends, const SearchCriteria &Criteria) {
-  return std::any_of(Backends.begin(), Backends.end(), [&Criteria](const BackendView &Backend) {
-    return isUsable(Backend, Criteria);
-  });
+bool hasUsableBackend(std::span<const BackendView> Backends, const SearchCriteria &Criteria,
+                      TimePoint Now) {
+  return std::any_of(
+      Backends.begin(), Backends.end(),
+      [&Criteria, Now](const BackendView &Backend) { return isUsable(Backend, Criteria, Now); });
+}
+
+std::optional<TimePoint> firstPauseEnd(std::span<const BackendView> Backends,
+                                       const SearchCriteria &Criteria, TimePoint Now) {
+  SearchCriteria Anew = Criteria;
+  Anew.m_Arrived = Now;
+  Anew.m_Tried = {};
+  std::optional<TimePoint> First;
+  for (const bool UsesLeaving : {false, true}) {
+    Anew.m_UsesLeaving = UsesLeaving;
+    if (hasUsableBackend(Backends, Anew, Now)) {
+      return std::nullopt;
+    }
+  }
+  for (const BackendView &Backend : Backends) {
+    const TimePoint End = std::max(Backend.m_Fitness.pausedUntil(), Now);
+    const bool WasPaused = Now - PauseRecoveryTime < Backend.m_Fitness.pausedUntil();
+    if (!Backend.m_Settings.m_Leaving && WasPaused &&
+        !Backend.m_Fitness.isTooLate(End, Criteria.m_DrainBound)) {
+      First = std::min(First.value_or(End), End);
+    }
+  }
+  return First;
 }
 
 } // namespace vanillahill::kernel::probed
--- a/src/kernel/reasons.cpp
+++ b/src/kernel/reasons.cpp
@@ -12,6 +12,8 @@
     return "overload";
   case Reason::NoServer:
     return "no_server";
+  case Reason::ServersPaused:
+    return "servers_paused";
   case Reason::AttemptsRefused:
     return "attempts_refused";
   case Reason::RetryBudget:
@@ -76,6 +78,10 @@
     return "server_set_aside";
   case DecisionType::ServerSaidLeaving:
     return "server_said_leaving";
+  case DecisionType::ServerPaused:
+    return "server_paused";
+  case DecisionType::ServerPauseEnded:
+    return "server_pause_ended";
   }
   return "unknown";
 }
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -199,13 +199,20 @@
   updateUsableUntil(*m_Reply);
   auto End = Protocol.m_ReadReply(std::move(*m_Reply), *m_Exchange);
   m_Reply.reset();
+  // A server that asks for a pause does not get what waits for a connection to it. These requests
+  // end after the reply, so that the kernel knows the reason.
+  std::vector<std::uint64_t> Unsent;
+  if (End.m_PauseFor > Duration::zero()) {
+    Unsent = m_Pool->takeWaitingRequests(m_Server);
+  }
   if (!Reuse) {
     finishExchange(std::move(End));
     close();
-    return;
+  } else {
+    readBytes();
+    finishAndRelease(std::move(End));
   }
-  readBytes();
-  finishAndRelease(std::move(End));
+  m_Pool->endUnsent(Unsent);
 }
 
 /// Updates the time until which the connection may be reused while idle.
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -269,6 +269,7 @@
                               .m_Load = End.m_Load,
                               .m_Answered = End.m_Answered,
                               .m_ServerLeaving = End.m_ServerLeaving,
+                              .m_PauseFor = End.m_PauseFor,
                               .m_WrongServer = End.m_WrongServer});
     return;
   }
@@ -277,10 +278,28 @@
                               .m_Result = End.m_Result,
                               .m_Reply = std::move(End.m_Reply),
                               .m_ServerLeaving = End.m_ServerLeaving,
+                              .m_PauseFor = End.m_PauseFor,
                               .m_Load = End.m_Load,
                               .m_WrongServer = End.m_WrongServer});
 }
 
+/// Takes the requests that wait for a connection to a server. Probes stay: they end soon.
+std::vector<std::uint64_t> BackendPool::takeWaitingRequests(ServerId Target) {
+  const std::lock_guard Lock(m_Mutex);
+  auto &Waiting = m_Servers[Target].m_Waiting;
+  const auto Taken = std::stable_partition(Waiting.begin(), Waiting.end(),
+                                           [](std::uint64_t Id) { return Id >= FirstProbeId; });
+  std::vector<std::uint64_t> Ids(Taken, Waiting.end());
+  Waiting.erase(Taken, Waiting.end());
+  return Ids;
+}
+
+void BackendPool::endUnsent(std::span<const std::uint64_t> Ids) {
+  for (const auto Id : Ids) {
+    finishExchange(Id, {.m_Result = kernel::AttemptResult::NotSent});
+  }
+}
+
 void BackendPool::close() {
   PendingActions Actions;
   {
--- a/src/net/status_json.cpp
+++ b/src/net/status_json.cpp
@@ -56,6 +56,8 @@
           {"ejected", Server.m_Ejected},
           {"leaving", Server.m_Leaving},
           {"said_leaving", Server.m_SaidLeaving},
+          {"pause_left_ms", toMillis(Server.m_PauseLeft)},
+          {"pauses", Server.m_Pauses},
           {"measuring_requests", Server.m_Probes}};
 }
 
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -81,6 +81,8 @@
   case DecisionType::Retried:
   case DecisionType::ServerSetAside:
   case DecisionType::ServerSaidLeaving:
+  case DecisionType::ServerPaused:
+  case DecisionType::ServerPauseEnded:
     return true;
   case DecisionType::AttemptEnded:
     return Made.m_Outcome != "completed" && Made.m_Outcome != "cancelled";
--- a/src/observe/status_metrics.cpp
+++ b/src/observe/status_metrics.cpp
@@ -102,6 +102,10 @@
   FamilyBuilder SaidLeaving("vanillahill_server_said_leaving_total",
                             "Backend servers whose replies said that they are leaving",
                             MetricType::Counter);
+  FamilyBuilder Paused("vanillahill_server_paused", "1 while a backend server wants no request",
+                       MetricType::Gauge);
+  FamilyBuilder Pauses("vanillahill_server_pauses_total", "Pauses asked for by a backend server",
+                       MetricType::Counter);
   FamilyBuilder Probes("vanillahill_server_measuring_requests_total",
                        "Measuring requests to a backend server", MetricType::Counter);
   for (const auto &Server : Status.m_Servers) {
@@ -110,12 +114,16 @@
     Ejected.add(LabelSet, Server.m_Ejected ? 1 : 0);
     Leaving.add(LabelSet, Server.m_Leaving ? 1 : 0);
     SaidLeaving.add(LabelSet, Server.m_SaidLeaving ? 1 : 0);
+    Paused.add(LabelSet, Server.m_PauseLeft > Duration::zero() ? 1 : 0);
+    Pauses.add(LabelSet, static_cast<double>(Server.m_Pauses));
     Probes.add(LabelSet, static_cast<double>(Server.m_Probes));
   }
   InFlight.appendTo(Out);
   Ejected.appendTo(Out);
   Leaving.appendTo(Out);
   SaidLeaving.appendTo(Out);
+  Paused.appendTo(Out);
+  Pauses.appendTo(Out);
   Probes.appendTo(Out);
 }
 
--- a/tests/probed_harness.hpp
+++ b/tests/probed_harness.hpp
@@ -35,6 +35,10 @@
   std::uint32_t m_Status = 200;
   /// Its replies say that it is leaving.
   bool m_SaysLeaving = false;
+  /// With m_Result NotRun: its replies ask for a pause of this length, if not zero.
+  Duration m_PauseFor{};
+  /// The same for its replies to probes.
+  Duration m_ProbePauseFor{};
   /// Attempts that wait for a slot.
   std::deque<AttemptId> m_Queue;
   /// The request of each attempt that it received.
@@ -64,6 +68,13 @@
   std::optional<RequestId> m_Request;
 };
 
+/// A reply in which a server asked for a pause.
+struct AskedPause {
+  ServerId m_Server{};
+  TimePoint m_At{};
+  Duration m_Length{};
+};
+
 /// Runs the dispatchers of one or more VMs that share the servers. A probe takes 2 ms, or 250 ms at
 /// a server that does not answer probes. What one VM tells the others arrives after 1 ms.
 class DispatcherHarness {
@@ -191,6 +202,8 @@
     const auto Found = m_SaidLeavingAt.find(Server);
     return Found == m_SaidLeavingAt.end() ? std::nullopt : std::optional(Found->second);
   }
+  /// The pauses that the servers asked for, in order.
+  const std::vector<AskedPause> &askedPauses() const { return m_Pauses; }
   /// Everything that was sent to the servers, in order.
   const std::vector<Sent> &sent() const { return m_Sent; }
   /// Log lines of a type, in order.
@@ -313,6 +326,10 @@
       if (Probed.m_AnswersProbes && Probed.m_ReportsLoad) {
         Ended.m_Load = loadOf(Probed);
       }
+      if (Probed.m_AnswersProbes && Probed.m_ProbePauseFor > Duration::zero()) {
+        Ended.m_PauseFor = Probed.m_ProbePauseFor;
+        m_Pauses.push_back({.m_Server = Server, .m_At = Now, .m_Length = Ended.m_PauseFor});
+      }
       Actions Out;
       m_Dispatchers[Vm].probeEnded(Ended, Now, Out);
       applyActions(Vm, Out);
@@ -380,6 +397,10 @@
     }
     Ended.m_ServerLeaving = Fake.m_SaysLeaving && (Ended.m_Result == AttemptResult::Completed ||
                                                    Ended.m_Result == AttemptResult::NotRun);
+    if (Ended.m_Result == AttemptResult::NotRun && Fake.m_PauseFor > Duration::zero()) {
+      Ended.m_PauseFor = Fake.m_PauseFor;
+      m_Pauses.push_back({.m_Server = Server, .m_At = Now, .m_Length = Ended.m_PauseFor});
+    }
     if (Ended.m_ServerLeaving && Vm == 0) {
       m_SaidLeavingAt.emplace(Server, Now);
     }
@@ -404,6 +425,7 @@
   std::map<RequestId, TimePoint> m_ArrivedAt;
   std::map<ServerId, TimePoint> m_SaidLeavingAt;
   std::vector<Sent> m_Sent;
+  std::vector<AskedPause> m_Pauses;
   std::vector<Decision> m_Decisions;
   std::uint64_t m_LastRequest = 0;
   std::uint64_t m_LastOrder = 0;
--- a/tests/unit-backend-pool.cpp
+++ b/tests/unit-backend-pool.cpp
@@ -276,5 +276,44 @@
   EXPECT_FALSE(m_Inbox.next<kernel::ProbeEnded>().m_Healthy);
 }
 
+/// Every refusal asks for a pause.
+ExchangeEnd readPausingReply(HttpReply Message, const BackendExchange &Exchange) {
+  ExchangeEnd End = readExchangeReply(std::move(Message), Exchange);
+  if (End.m_Result == AttemptResult::NotRun) {
+    End.m_PauseFor = std::chrono::seconds(3);
+  }
+  return End;
+}
+
+TEST_F(PoolTest, ARequestThatWaitsForAConnectionIsNotSentToAServerThatAsksForAPause) {
+  static const Dialect Pausing = [] {
+    Dialect Changed = ownDialect();
+    Changed.m_ReadReply = &readPausingReply;
+    return Changed;
+  }();
+  std::atomic<int> Received = 0;
+  std::promise<void> Proceed;
+  Backend Server([&Received, Go = Proceed.get_future().share()](const BackendRequest &Request) {
+    ++Received;
+    Go.wait();
+    return "HTTP/1.1 503 Service Unavailable\r\nVH-Not-Run: true\r\nContent-Length: 0\r\n"
+           "VH-Exchange: " +
+           std::string(Request["VH-Exchange"]) + "\r\n\r\n";
+  });
+  m_Pool = std::make_shared<BackendPool>(m_Io.io(), "e1", m_Inbox.sink(), m_Metrics,
+                                         BackendPoolOptions{.m_Dialect = &Pausing});
+  auto Site = deskSettings({Server.port()});
+  Site.m_Services[0].m_Servers[0].m_MaxConnections = 1;
+  applySettings(Site);
+  dispatch(1);
+  dispatch(2);
+  Proceed.set_value();
+  const AttemptEnded First = awaitAttemptEnded();
+  EXPECT_EQ(First.m_Result, AttemptResult::NotRun);
+  EXPECT_EQ(First.m_PauseFor, std::chrono::seconds(3));
+  EXPECT_EQ(awaitAttemptEnded().m_Result, AttemptResult::NotSent);
+  EXPECT_EQ(Received, 1);
+}
+
 } // namespace
 } // namespace vanillahill::net::fakes
--- a/tests/unit-platform-dialect.cpp
+++ b/tests/unit-platform-dialect.cpp
@@ -73,6 +73,42 @@
   EXPECT_FALSE(read(replyOf(200, {Leaving}), Exchange).m_ServerLeaving);
 }
 
+TEST(PlatformDialect, APauseIsReadInSecondsAndCutToTheLongest) {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  EXPECT_EQ(decodePause("3"), seconds(3));
+  EXPECT_EQ(decodePause("0.25"), milliseconds(250));
+  EXPECT_EQ(decodePause("2.5"), milliseconds(2500));
+  EXPECT_EQ(decodePause("600"), LongestPause);
+  EXPECT_EQ(decodePause("99999999999999999999"), LongestPause);
+  const std::string TooLarge(400, '9');
+  for (const std::string_view Text :
+       {"", "0", "0.0", "-1", "-0", "+3", "soon", "3s", "3 s", "3,5", "1e3", "0x5", "nan", "inf",
+        "infinity", "Wed, 21 Oct 2026 07:28:00 GMT", TooLarge.c_str()}) {
+    EXPECT_EQ(decodePause(Text), Duration::zero()) << Text;
+  }
+}
+
+TEST(PlatformDialect, OnlyAServersOwn503AsksForAPause) {
+  const auto Exchange = requestExchange();
+  constexpr Header Wait{"Retry-After", "3"};
+  const Duration Asked = std::chrono::seconds(3);
+  EXPECT_EQ(read(replyOf(503, {OwnId, NotRun, Wait}), Exchange).m_PauseFor, Asked);
+  EXPECT_EQ(read(replyOf(503, {OwnId, Signature, Wait}), Exchange).m_PauseFor, Asked);
+  EXPECT_EQ(read(replyOf(503, {{"Instance-Id", "i-1"}, Wait}), probeExchange()).m_PauseFor, Asked);
+  for (const unsigned Status : {200U, 421U, 429U, 500U}) {
+    EXPECT_EQ(read(replyOf(Status, {OwnId, NotRun, Wait}), Exchange).m_PauseFor, Duration::zero())
+        << Status;
+  }
+  EXPECT_EQ(read(replyOf(503, {OwnId, Wait}), Exchange).m_PauseFor, Duration::zero()) << "unsigned";
+  EXPECT_EQ(read(replyOf(503, {{"Instance-Id", "i-2"}, Wait}), probeExchange()).m_PauseFor,
+            Duration::zero());
+  const auto Passed = read(replyOf(500, {OwnId, Signature, Wait}), Exchange);
+  ASSERT_NE(Passed.m_Reply, nullptr);
+  EXPECT_EQ(Passed.m_Reply->m_Headers.back().m_Name, "Retry-After")
+      << "with another status it is for the caller";
+}
+
 TEST(PlatformDialect, CallersAreNotToldThatAServerIsLeaving) {
   const auto End =
       read(replyOf(200, {OwnId, Signature, Leaving, {"X-Own", "kept"}}), requestExchange());
--- a/tests/unit-platform-front.cpp
+++ b/tests/unit-platform-front.cpp
@@ -288,6 +288,23 @@
             std::string::npos);
 }
 
+TEST_F(FrontTest, AServerThatAsksForAPauseGetsNothingDuringIt) {
+  PlatformServer Server("i-1", [](const BackendRequest &) {
+    return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 30\r\n"
+           "Content-Length: 0\r\n\r\n";
+  });
+  m_Store.put("keyed.op", "config", configuration(3));
+  add(Server);
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  for (int Request = 0; Request < 20; ++Request) {
+    const auto Answer = Vm.ask("/post/1", "POST");
+    EXPECT_EQ(Answer.result_int(), 503U);
+    EXPECT_GE(std::stod(std::string(Answer["Retry-After"])), 10.0);
+  }
+  EXPECT_EQ(Server.served(), 1);
+}
+
 TEST_F(FrontTest, RepliesOfOthersSayNothingAboutAServer) {
   const std::string Leaving = "Server-Leaving: 1\r\n";
   const PlatformServer::ReplyFunction Replies[] = {
