vanillahill-ctl status: servers that are leaving or paused

Operators saw in `status` only versions, so whether a VM had taken a server's word for leaving or for a pause had to be read from its metrics. A status without servers, or of an earlier version, reads as none.

Evidence: CtlStatus.NamesTheServersThatAreLeavingOrPaused (new fields, so it does not build without the change). The heading LAG now ends above its column.

--- a/include/vanillahill/ctl/vm_status.hpp
+++ b/include/vanillahill/ctl/vm_status.hpp
@@ -20,6 +20,10 @@
   std::string m_Name;
   std::string m_State;
   std::vector<peer::FileVersion> m_Versions;
+  /// Backend servers whose replies to this VM said that they are leaving.
+  std::vector<std::string> m_LeavingServers;
+  /// Backend servers that want no request from this VM now.
+  std::vector<std::string> m_PausedServers;
   /// Empty when it answered.
   std::string m_Fault;
 };
@@ -37,7 +41,8 @@
 /// \brief Whether every VM answered and holds at least the given versions.
 bool inForce(std::span<const VmStatus> Vms, std::span<const peer::FileVersion> Versions);
 
-/// \brief A table: each VM, its state, its version of each file and how many versions it is behind.
+/// \brief A table: each VM, its state, its version of each file, how many versions it is behind,
+/// and how many backend servers are leaving or paused for it.
 std::string statusTable(std::span<const VmStatus> Vms, std::span<const peer::FileVersion> Versions);
 
 /// \brief The same as one JSON object.
--- a/src/ctl/vm_status.cpp
+++ b/src/ctl/vm_status.cpp
@@ -31,7 +31,21 @@
     const std::size_t Width = std::max<std::size_t>(Each.m_File.size(), 7);
     Row += fmt::format(" {:>{}}", versionOn(Vm, Each.m_File), Width);
   }
-  return Row + fmt::format(" {:>4}\n", lagOf(Vm, Versions));
+  return Row + fmt::format(" {:>4} {:>7} {:>6}\n", lagOf(Vm, Versions), Vm.m_LeavingServers.size(),
+                           Vm.m_PausedServers.size());
+}
+
+void readServers(const Json &Body, VmStatus &Vm) {
+  // VMs of an earlier version do not tell this.
+  for (const Json &Each : Body.value("servers", Json::array())) {
+    const auto Name = Each.at("name").get<std::string>();
+    if (Each.value("said_leaving", false)) {
+      Vm.m_LeavingServers.push_back(Name);
+    }
+    if (Each.value("pause_left_ms", 0) > 0) {
+      Vm.m_PausedServers.push_back(Name);
+    }
+  }
 }
 
 } // namespace
@@ -41,6 +55,8 @@
               .m_Name = "",
               .m_State = "",
               .m_Versions = {},
+              .m_LeavingServers = {},
+              .m_PausedServers = {},
               .m_Fault = ""};
   try {
     const Json Body = Json::parse(Text);
@@ -50,6 +66,7 @@
       Vm.m_Versions.push_back(
           {Each.at("file").get<std::string>(), Each.at("version").get<std::uint64_t>()});
     }
+    readServers(Body, Vm);
   } catch (const Json::exception &Raised) {
     Vm.m_Fault = std::string("status is malformed: ") + Raised.what();
   }
@@ -72,6 +89,8 @@
           .m_Name = "",
           .m_State = "",
           .m_Versions = {},
+          .m_LeavingServers = {},
+          .m_PausedServers = {},
           .m_Fault = Kind + ": " + Cause.m_Detail};
 }
 
@@ -93,7 +112,7 @@
   for (const peer::FileVersion &Each : Versions) {
     Table += fmt::format(" {:>{}}", Each.m_File, 7);
   }
-  Table += " LAG\n";
+  Table += "  LAG LEAVING PAUSED\n";
   for (const VmStatus &Vm : Vms) {
     Table += rowOf(Vm, Versions);
   }
@@ -113,6 +132,8 @@
       Row["versions"][Each.m_File] = Each.m_Version;
     }
     Row["lag"] = lagOf(Vm, Versions);
+    Row["leaving_servers"] = Vm.m_LeavingServers;
+    Row["paused_servers"] = Vm.m_PausedServers;
     Row["fault"] = Vm.m_Fault;
     List.push_back(std::move(Row));
   }
--- a/tests/unit-publish.cpp
+++ b/tests/unit-publish.cpp
@@ -174,5 +174,20 @@
       << Table;
 }
 
+TEST(CtlStatus, NamesTheServersThatAreLeavingOrPaused) {
+  const ctl::VmStatus Vm = ctl::parseStatus(
+      "127.0.0.1:1", R"({"name":"e1","state":"serving","versions":[],"servers":[)"
+                     R"({"name":"desk/s1","said_leaving":true,"pause_left_ms":0},)"
+                     R"({"name":"desk/s2","said_leaving":false,"pause_left_ms":1500},)"
+                     R"({"name":"desk/s3"}]})");
+  EXPECT_EQ(Vm.m_Fault, "");
+  EXPECT_EQ(Vm.m_LeavingServers, std::vector<std::string>{"desk/s1"});
+  EXPECT_EQ(Vm.m_PausedServers, std::vector<std::string>{"desk/s2"});
+  const std::string Table = ctl::statusTable(std::vector{Vm}, {});
+  EXPECT_NE(Table.find("serving      0       1      1\n"), std::string::npos) << Table;
+  const std::string Json = ctl::statusJson(std::vector{Vm}, {});
+  EXPECT_NE(Json.find("leaving_servers"), std::string::npos);
+}
+
 } // namespace
 } // namespace vanillahill::config
