--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -44,7 +44,14 @@
   void assignBackends();
   void assignKinds();
   BackendView *findBackend(ServerId Server);
-  SearchCriteria criteriaOf(const Request &Pending) const;
+  SearchCriteria criteriaOf(const Request &Pending, TimePoint Now) const;
+  Fitness &fitnessOf(ServerId Server);
+  void recordPause(ServerId Server, Duration Length, std::string_view Source, Duration Age,
+                   TimePoint Now, Actions &Out);
+  static void noticePauseEnd(BackendView &Backend, TimePoint Now, Actions &Out);
+  Duration timeUntilResumed(TimePoint PauseEnd, TimePoint Now);
+  void recordLeaving(ServerId Server, std::string_view Source, Duration Age, TimePoint Now,
+                     Actions &Out);
 
   // Searching for a server.
   void startSearch(Request &Pending, SearchPurpose Purpose, TimePoint Now, Actions &Out);
@@ -95,6 +102,7 @@
   DispatcherContext &m_Context;
   ServiceSettings m_Settings;
   std::vector<BackendView> m_Backends;
+  UnlistedFitness m_UnlistedFitness;
   KindTable<Kind> m_Kinds;
   std::unordered_map<RequestId, Request> m_Requests;
   std::unordered_map<AttemptId, Attempt> m_Attempts;
--- a/src/fleet/catalog.cpp
+++ b/src/fleet/catalog.cpp
@@ -219,7 +219,8 @@
                                              static_cast<double>(Service.m_Servers.size()) /
                                              reservedFleetSize(),
                         .m_RetryRatio = m_Options.m_RetryRatio,
-                        .m_RetryWindow = m_Options.m_RetryWindow};
+                        .m_RetryWindow = m_Options.m_RetryWindow,
+                        .m_DrainBound = m_Options.m_DrainBound};
   }
   return Settings;
 }
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -55,11 +55,19 @@
   for (const ServerSettings &Server : m_Settings.m_Servers) {
     const BackendView *Known = findBackend(Server.m_Id);
     BackendView View = Known != nullptr ? *Known : BackendView{};
+    if (Known == nullptr) {
+      View.m_Fitness = m_UnlistedFitness.take(Server.m_Id);
+    }
     View.m_Settings = Server;
     View.m_IsLocal = Server.m_DataCenter == m_Context.m_DataCenter;
     Next.push_back(std::move(View));
   }
-  m_Backends = std::move(Next);
+  m_Backends.swap(Next);
+  for (const BackendView &Previous : Next) {
+    if (findBackend(Previous.m_Settings.m_Id) == nullptr) {
+      m_UnlistedFitness.keep(Previous.m_Settings.m_Id, Previous.m_Fitness);
+    }
+  }
   choosePreferred(m_Backends, m_Context.m_Self);
   // The indices have changed: running searches forget their servers and start a new round.
   for (const RequestId Id : m_SearchingRequests) {
@@ -90,11 +98,15 @@
   return Found == m_Backends.end() ? nullptr : &*Found;
 }
 
-SearchCriteria Dispatcher::criteriaOf(const Request &Pending) const {
+SearchCriteria Dispatcher::criteriaOf(const Request &Pending, TimePoint Now) const {
   const Kind &RequestKind = m_Kinds[Pending.m_Kind];
-  return {.m_Work = RequestKind.m_Work,
-          .m_Idempotent = RequestKind.m_Settings.m_Idempotent,
-          .m_Tried = {Pending.m_Tried.data(), Pending.m_Tried.size()}};
+  SearchCriteria Criteria{.m_Work = RequestKind.m_Work,
+                          .m_Idempotent = RequestKind.m_Settings.m_Idempotent,
+                          .m_Tried = {Pending.m_Tried.data(), Pending.m_Tried.size()},
+                          .m_Arrived = Pending.m_Arrived,
+                          .m_DrainBound = m_Settings.m_Policy.m_DrainBound};
+  Criteria.m_UsesLeaving = !hasUsableBackend(m_Backends, Criteria, Now);
+  return Criteria;
 }
 
 void Dispatcher::arrive(RequestId Id, KindId Kind, TimePoint Deadline, TimePoint Now,
@@ -124,7 +136,7 @@
 
 void Dispatcher::startRound(Request &Pending, TimePoint Now, Actions &Out) {
   Search &CurrentSearch = *Pending.m_Search;
-  const SearchCriteria Criteria = criteriaOf(Pending);
+  const SearchCriteria Criteria = criteriaOf(Pending, Now);
   ++CurrentSearch.m_Rounds;
   CurrentSearch.m_RoundBegin = CurrentSearch.m_Sampled.size();
   const Duration Wait = std::clamp(toDuration(m_ProbeSeconds.value() * ProbeWaitMultiple),
@@ -160,6 +172,7 @@
   if (Backend.m_ProbeSince || Backend.hasFreshLoad(Now)) {
     return false;
   }
+  noticePauseEnd(Backend, Now, Out);
   Backend.m_ProbeSince = Now;
   ++Backend.m_Probes;
   m_ProbeBudget.takeToken();
@@ -186,7 +199,7 @@
     }
     Request &Pending = Found->second;
     const auto Best =
-        findCheapest(m_Backends, criteriaOf(Pending), Pending.m_Search->m_Sampled, Now);
+        findCheapest(m_Backends, criteriaOf(Pending, Now), Pending.m_Search->m_Sampled, Now);
     // An idle and quick server ends the round; else the replies of the others are awaited, as an
     // emptier one may be among them.
     if ((Best && Best->m_IsGood && Best->m_IsIdle) || isRoundOver(*Pending.m_Search, Now)) {
@@ -196,7 +209,7 @@
 }
 
 void Dispatcher::finishRound(Request &Pending, TimePoint Now, Actions &Out) {
-  const SearchCriteria Criteria = criteriaOf(Pending);
+  const SearchCriteria Criteria = criteriaOf(Pending, Now);
   const auto Best = findCheapest(m_Backends, Criteria, Pending.m_Search->m_Sampled, Now);
   const bool IsGood = Best && Best->m_IsGood;
   // A request is not refused on the word of few servers: for that, the last probes are used.
@@ -231,7 +244,8 @@
     }
     return;
   }
-  const auto Chosen = chooseWithoutReport(m_Backends, criteriaOf(Pending), Now, m_Context.m_Random);
+  const auto Chosen =
+      chooseWithoutReport(m_Backends, criteriaOf(Pending, Now), Now, m_Context.m_Random);
   if (Chosen) {
     placeRequest(Pending, *Chosen, Now, Out);
     return;
@@ -290,6 +304,7 @@
 
 void Dispatcher::sendAttempt(Request &Pending, BackendIndex Index, TimePoint Now, Actions &Out) {
   BackendView &Backend = m_Backends[Index];
+  noticePauseEnd(Backend, Now, Out);
   const Attempt Sent{.m_Id = AttemptId{m_Context.m_NextAttempt++},
                      .m_Request = Pending.m_Id,
                      .m_Kind = Pending.m_Kind,
@@ -396,6 +411,12 @@
   const Attempt Sent = Found->second;
   m_Attempts.erase(Found);
   appendAttemptEnd(Sent, Ended, Now, Out);
+  if (Ended.m_ServerLeaving) {
+    recordLeaving(Sent.m_Server, "request", Now - Sent.m_Started, Now, Out);
+  }
+  if (Ended.m_PauseFor > Duration::zero()) {
+    recordPause(Sent.m_Server, Ended.m_PauseFor, "request", Now - Sent.m_Started, Now, Out);
+  }
   updateBackend(Sent, Ended, Now, Out);
   if (Sent.m_IsAdditional && Ended.m_Result == AttemptResult::NotSent) {
     m_RetryBudget.returnToken();
@@ -410,33 +431,6 @@
   checkInvariants();
 }
 
-void Dispatcher::appendAttemptEnd(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now,
-                                  Actions &Out) {
-  Decision Entry{.m_Type = DecisionType::AttemptEnded,
-                 .m_Request = Sent.m_Request,
-                 .m_Took = Now - Sent.m_Started,
-                 .m_Outcome = Sent.m_Cancelled ? "cancelled" : toString(Ended.m_Result),
-                 .m_Status = Ended.m_Reply ? Ended.m_Reply->m_Status : 0};
-  if (const BackendView *Backend = findBackend(Sent.m_Server)) {
-    addBackendState(Entry, *Backend, Now);
-  }
-  Out.push_back(std::move(Entry));
-}
-
-Decision Dispatcher::makeDecision(DecisionType Type, const Request &Pending, TimePoint Now) const {
-  return {.m_Type = Type,
-          .m_Request = Pending.m_Id,
-          .m_Took = Now - Pending.m_Arrived,
-          .m_TimeLeft = Pending.m_Deadline - Now};
-}
-
-void Dispatcher::addBackendState(Decision &Entry, const BackendView &Backend, TimePoint Now) {
-  Entry.m_Server = Backend.m_Settings.m_Name;
-  Entry.m_Load = Backend.m_Load;
-  Entry.m_LoadAge = Now - Backend.m_LoadReceivedAt;
-  Entry.m_Failures = Backend.m_FailureScore.value(Now);
-}
-
 void Dispatcher::addFailure(BackendView &Backend, double Weight, TimePoint Now, Actions &Out) {
   const bool WasSetAside = Backend.m_FailureScore.value(Now) >= SetAsideScore;
   Backend.addFailure(Weight, Now);
@@ -477,7 +471,10 @@
     addFailure(*Backend, Ended.m_WrongServer ? SetAsideScore : RefusedRequestWeight, Now, Out);
     return;
   case AttemptResult::NotSent:
-    addFailure(*Backend, 1.0, Now, Out);
+    // During a pause, requests that wait for a connection are not sent.
+    if (!Backend->m_Fitness.isPaused(Now)) {
+      addFailure(*Backend, 1.0, Now, Out);
+    }
     return;
   case AttemptResult::Unknown:
     if (Sent.m_WasNearlyFull) {
@@ -560,7 +557,7 @@
     return false;
   }
   const bool HasTime = Now + toDuration(RequestKind.m_Work.usualSeconds()) < Pending.m_Deadline;
-  if (!HasTime || !hasUsableBackend(m_Backends, criteriaOf(Pending)) ||
+  if (!HasTime || !hasUsableBackend(m_Backends, criteriaOf(Pending, Now), Now) ||
       (IsCharged && !m_RetryBudget.tryTakeToken())) {
     return false;
   }
@@ -575,6 +572,12 @@
     completeRequest(Pending, ReplyPtr(Pending.m_FailedReply), Now, Out);
     return;
   }
+  if (!Pending.m_MayHaveRun) {
+    if (const auto End = firstPauseEnd(m_Backends, criteriaOf(Pending, Now), Now)) {
+      refuseRequest(Pending, Reason::ServersPaused, timeUntilResumed(*End, Now), Now, Out);
+      return;
+    }
+  }
   constexpr double ShortestSeconds = 0.1;
   constexpr double LongestSeconds = 0.3;
   std::uniform_real_distribution<double> Jitter(ShortestSeconds, LongestSeconds);
@@ -589,6 +592,14 @@
 
 void Dispatcher::probeEnded(const ProbeEnded &Ended, TimePoint Now, Actions &Out) {
   BackendView *Backend = findBackend(Ended.m_Server);
+  const bool IsTimed = Backend != nullptr && Backend->m_ProbeSince;
+  const Duration Age = IsTimed ? Now - *Backend->m_ProbeSince : Duration{};
+  if (Ended.m_ServerLeaving) {
+    recordLeaving(Ended.m_Server, "probe", Age, Now, Out);
+  }
+  if (Ended.m_PauseFor > Duration::zero()) {
+    recordPause(Ended.m_Server, Ended.m_PauseFor, "probe", Age, Now, Out);
+  }
   if (Backend == nullptr) {
     return;
   }
@@ -610,7 +621,7 @@
   } else if (!m_ReportsLoad) {
     m_ReportsLoad = false;
   }
-  if (Ended.m_Answered && !Ended.m_Healthy) {
+  if (Ended.m_Answered && !Ended.m_Healthy && !Ended.m_ServerLeaving) {
     addFailure(*Backend, UnhealthyProbeWeight, Now, Out);
   }
   advanceSearches(Now, Out);
@@ -732,29 +743,6 @@
   m_Requests.erase(Pending.m_Id);
 }
 
-void Dispatcher::appendMarks(TimePoint Now, std::vector<ServerId> &Avoid,
-                             std::vector<ServerId> & /*Leaving*/) const {
-  for (const BackendView &Backend : m_Backends) {
-    if (Backend.m_FailureScore.value(Now) >= SetAsideScore) {
-      Avoid.push_back(Backend.m_Settings.m_Id);
-    }
-  }
-}
-
-void Dispatcher::appendStatus(TimePoint Now, NodeStatus &Status) const {
-  appendUsed(m_Kinds.allCounters(), Status.m_Kinds);
-  for (const BackendView &Backend : m_Backends) {
-    Status.m_Servers.push_back({.m_Server = Backend.m_Settings.m_Id,
-                                .m_Name = m_Settings.m_Name + "/" + Backend.m_Settings.m_Name,
-                                .m_InFlight = Backend.m_InFlight,
-                                .m_Ejected = Backend.m_FailureScore.value(Now) >= SetAsideScore,
-                                .m_Leaving = Backend.m_Settings.m_Leaving,
-                                .m_Probes = Backend.m_Probes});
-  }
-  Status.m_InFlight += m_Attempts.size();
-  Status.m_Queued += m_SearchingRequests.size();
-}
-
 void Dispatcher::checkInvariants() const {
 #ifndef NDEBUG
   std::size_t InFlight = 0;
--- a/src/kernel/reasons.cpp
+++ b/src/kernel/reasons.cpp
@@ -12,6 +12,8 @@
     return "overload";
   case Reason::NoServer:
     return "no_server";
+  case Reason::ServersPaused:
+    return "servers_paused";
   case Reason::AttemptsRefused:
     return "attempts_refused";
   case Reason::RetryBudget:
@@ -74,6 +76,12 @@
     return "request_refused";
   case DecisionType::ServerSetAside:
     return "server_set_aside";
+  case DecisionType::ServerSaidLeaving:
+    return "server_said_leaving";
+  case DecisionType::ServerPaused:
+    return "server_paused";
+  case DecisionType::ServerPauseEnded:
+    return "server_pause_ended";
   }
   return "unknown";
 }
--- a/src/net/status_json.cpp
+++ b/src/net/status_json.cpp
@@ -55,6 +55,9 @@
           {"slots_held", Server.m_SlotsHeld},
           {"ejected", Server.m_Ejected},
           {"leaving", Server.m_Leaving},
+          {"said_leaving", Server.m_SaidLeaving},
+          {"pause_left_ms", toMillis(Server.m_PauseLeft)},
+          {"pauses", Server.m_Pauses},
           {"measuring_requests", Server.m_Probes}};
 }
 
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -80,6 +80,9 @@
   case DecisionType::Refused:
   case DecisionType::Retried:
   case DecisionType::ServerSetAside:
+  case DecisionType::ServerSaidLeaving:
+  case DecisionType::ServerPaused:
+  case DecisionType::ServerPauseEnded:
     return true;
   case DecisionType::AttemptEnded:
     return Made.m_Outcome != "completed" && Made.m_Outcome != "cancelled";
