Callers: an idle connection is not closed with a request in it

Cause: a busy VM handles what has arrived late, but its timeouts and the stop at once. A check of the idle timeout that ran before the socket was read closed the connection, and lingering threw the request away. The same when a stop closes idle connections. Two forms: the bytes still in the socket, and the bytes read with the handler not yet run.

Change: the pending read is cancelled first. If it ends with bytes, or bytes wait in the socket, the connection stays open and the request is served; else it is closed as before.

--- a/include/vanillahill/net/detail/caller_connection.hpp
+++ b/include/vanillahill/net/detail/caller_connection.hpp
@@ -61,6 +61,8 @@
   void writeResponse(bool KeepAlive);
   void onWritten(ErrorCode Failure, bool KeepAlive);
   void linger();
+  void closeUnlessRequestArrived();
+  bool hasUnreadBytes() const;
   void close();
   void handleTimeout();
   /// Sets the phase and its deadline.
@@ -73,6 +75,8 @@
   MessageReader<true> m_Reader;
   CallerPhase m_Phase = CallerPhase::Idle;
   bool m_IsReading = false;
+  /// The read was ended in order to close the idle connection.
+  bool m_ClosesAfterRead = false;
   bool m_KeepAlive = true;
   bool m_ContinueChecked = false;
   /// The caller closed its sending direction while its answer was being written.
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -64,9 +64,18 @@
 
 void CallerConnection::onRead(ErrorCode Failure, std::size_t Count) {
   m_IsReading = false;
+  const bool IsClosing = std::exchange(m_ClosesAfterRead, false);
   if (m_Phase == CallerPhase::Closed) {
     return;
   }
+  if (IsClosing && Failure == asio::error::operation_aborted) {
+    if (hasUnreadBytes()) {
+      read();
+    } else {
+      linger();
+    }
+    return;
+  }
   if (Failure) {
     onPeerClosed();
     return;
@@ -222,11 +231,28 @@
 void CallerConnection::closeIfIdle() {
   asio::post(m_Stream.get_executor(), [Self = shared_from_this()] {
     if (Self->m_Phase == CallerPhase::Idle) {
-      Self->linger();
+      Self->closeUnlessRequestArrived();
     }
   });
 }
 
+/// A busy process handles a request later than it arrives: the read is ended first, and the
+/// connection is closed only if no request came with it.
+void CallerConnection::closeUnlessRequestArrived() {
+  if (!m_IsReading) {
+    linger();
+    return;
+  }
+  m_ClosesAfterRead = true;
+  ErrorCode Ignored;
+  m_Stream.cancel(Ignored);
+}
+
+bool CallerConnection::hasUnreadBytes() const {
+  ErrorCode Failure;
+  return m_Stream.available(Failure) > 0 && !Failure;
+}
+
 void CallerConnection::closeNow() {
   asio::post(m_Stream.get_executor(), [Self = shared_from_this()] {
     if (Self->m_Phase == CallerPhase::Waiting) {
@@ -253,7 +279,7 @@
     sendRefusal(CallerFault::SlowRequest);
     return;
   case CallerPhase::Idle:
-    linger();
+    closeUnlessRequestArrived();
     return;
   case CallerPhase::Answering:
     recordFault(CallerFault::SlowAnswer);
