Follower: regular reads wait while long records spread between VMs

Change: readUnlessFetched() postpones the regular read to its own random time, but never beyond 0.8 of the bound after what is known. Tests: Follower.RegularReadsWaitWhileLongRecordsAreFetched, FetchesPostponeAReadOnlyUntilAnAgeWithinTheBound.

--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -74,6 +74,9 @@
   /// Largest random time added to it for records that are too long for an announcement, as a share
   /// of the bound. VMs that all read them at the same time would wait long for the store.
   static constexpr double FetchSpreadShare = 0.25;
+  /// Age of what is known at which the store is read although records are being fetched, as a share
+  /// of the bound.
+  static constexpr double MaxFetchAgeShare = 0.8;
   /// Average number of VMs of one data centre that read the store when all of them start at the
   /// same time; the others fetch a snapshot from one of these.
   static constexpr double FirstReadVms = 8.0;
@@ -188,7 +191,8 @@
   void readSoon(Stream Which, const Position &To, TimePoint Now);
 
   /// \brief Like readSoon(), for records that are too long for an announcement: VMs fetch them from
-  /// each other, and those that have not got them read the store at a random time.
+  /// each other, and those that have not got them read the store at a random time. The regular read
+  /// is postponed until then.
   void readUnlessFetched(Stream Which, const Position &To, TimePoint Now);
 
   /// \brief Number of consecutive failed reads.
@@ -215,7 +219,6 @@
     return m_Streams[static_cast<std::size_t>(Which)];
   }
   void scheduleRead(StreamState &State);
-  void readWithin(Stream Which, const Position &To, double BoundShare, TimePoint Now);
   /// \return whether the era is new
   bool hearEra(std::uint64_t Era);
 
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -179,27 +179,26 @@
 }
 
 void Follower::readSoon(Stream Which, const Position &To, TimePoint Now) {
-  readWithin(Which, To, FetchTimeShare, Now);
+  StreamState &State = state(Which);
+  State.m_AnnouncedTo = std::max(State.m_AnnouncedTo, To);
+  if (State.m_Position.value_or(Position{}) < To) {
+    const auto FetchTime = std::chrono::duration_cast<Duration>(m_Options.m_Bound * FetchTimeShare);
+    State.m_NextReadAt = std::min(State.m_NextReadAt, Now + FetchTime);
+  }
 }
 
 void Follower::readUnlessFetched(Stream Which, const Position &To, TimePoint Now) {
-  const StreamState &State = state(Which);
-  const bool IsDue = State.m_AnnouncedTo >= To && State.m_Position.value_or(Position{}) < To;
-  if (IsDue) {
+  StreamState &State = state(Which);
+  if (State.m_AnnouncedTo >= To || State.m_Position.value_or(Position{}) >= To) {
     // An announcement that is heard again draws no second time.
     return;
   }
   std::uniform_real_distribution<double> Share(FetchTimeShare, FetchTimeShare + FetchSpreadShare);
-  readWithin(Which, To, Share(m_Random), Now);
-}
-
-void Follower::readWithin(Stream Which, const Position &To, double BoundShare, TimePoint Now) {
-  StreamState &State = state(Which);
-  State.m_AnnouncedTo = std::max(State.m_AnnouncedTo, To);
-  if (State.m_Position.value_or(Position{}) < To) {
-    const auto Wait = std::chrono::duration_cast<Duration>(m_Options.m_Bound * BoundShare);
-    State.m_NextReadAt = std::min(State.m_NextReadAt, Now + Wait);
-  }
+  const auto Wait = std::chrono::duration_cast<Duration>(m_Options.m_Bound * Share(m_Random));
+  const auto MaxAge = std::chrono::duration_cast<Duration>(m_Options.m_Bound * MaxFetchAgeShare);
+  State.m_AnnouncedTo = To;
+  // The regular read waits for the fetch, too: it would read the same records.
+  State.m_NextReadAt = std::min(Now + Wait, State.m_CurrentAt.value_or(Now) + MaxAge);
 }
 
 Position Follower::untoldFrom(const RecordRange &Range) const {
--- a/tests/unit-follower.cpp
+++ b/tests/unit-follower.cpp
@@ -161,6 +161,31 @@
   EXPECT_GT(Times.size(), 50U);
 }
 
+/// The regular reads of all VMs fell into the time in which long records spread between them.
+TEST(Follower, RegularReadsWaitWhileLongRecordsAreFetched) {
+  for (std::uint64_t Seed = 1; Seed <= 100; ++Seed) {
+    Follower Reader = follower(Seed);
+    for (const Stream Which : {Stream::Configuration, Stream::Servers}) {
+      Reader.nextRead(Start);
+      Reader.readSucceeded(Which, {.m_Offset = 10}, Start, Start);
+    }
+    const TimePoint Now = Start + Bound / 4;
+    Reader.adopt(Stream::Servers, {.m_Offset = 10}, Now);
+    Reader.readUnlessFetched(Stream::Configuration, {.m_Offset = 11}, Now);
+    EXPECT_NE(Reader.nextRead(Now + Bound / 4 - milliseconds(1)), Stream::Configuration);
+  }
+}
+
+/// Large configurations that follow each other must not postpone the read for ever.
+TEST(Follower, FetchesPostponeAReadOnlyUntilAnAgeWithinTheBound) {
+  Follower Reader = current();
+  std::uint64_t Offset = 10;
+  for (TimePoint Now = Start; Now < Start + Bound; Now += milliseconds(50)) {
+    Reader.readUnlessFetched(Stream::Configuration, {.m_Offset = ++Offset}, Now);
+  }
+  EXPECT_LE(Reader.nextTimer(), Start + Bound * 4 / 5);
+}
+
 /// A VM that is behind read each of several large configurations over its slow link.
 TEST(Follower, OfSeveralMissingConfigurationsOnlyTheNewestIsRead) {
   Follower Reader = current();
