Store client: records behind the limit of a read are not skipped

A configuration could be missed for good: the store cuts a read off at the limit that we ask for (4 MB), and the VM took the end of the stream, which the answer also names, for its position. Several versions of a large configuration exceed the limit.

Test: StoreClient.RecordsBehindTheLimitOfAReadAreNotSkipped, which failed before. A first run of it hung, as the test's stand-in waited for a request of the connection that was to wake it; the stand-in now ends first.

--- a/tests/unit-store-client.cpp
+++ b/tests/unit-store-client.cpp
@@ -35,6 +35,9 @@
       boost::system::error_code Failure;
       tcp::socket Stream(m_Io);
       m_Acceptor.accept(Stream, Failure);
+      if (m_IsStopping) {
+        return;
+      }
       boost::beast::flat_buffer Buffer;
       net::fakes::BackendRequest Request;
       net::http::read(Stream, Buffer, Request, Failure);
@@ -58,11 +61,11 @@
 };
 
 /// The answer to a read: one configuration record of the given size.
-std::string largeAnswer(std::size_t ValueBytes) {
+std::string largeAnswer(std::size_t ValueBytes, std::uint64_t End = 1) {
   const std::string Key = "config";
   const std::string Raw =
       std::string(1, static_cast<char>(Key.size())) + Key + std::string(ValueBytes, 'x');
-  const std::string Body = encodeBigEndian<std::uint64_t>(1) + encodeBigEndian<std::uint64_t>(0) +
+  const std::string Body = encodeBigEndian<std::uint64_t>(End) + encodeBigEndian<std::uint64_t>(0) +
                            encodeBigEndian(static_cast<std::uint32_t>(Raw.size())) + Raw;
   return formatReply("200 OK", Body);
 }
@@ -95,6 +98,15 @@
   EXPECT_EQ(Read->m_Records[0].m_Value->size(), ValueBytes);
 }
 
+/// The store leaves out records beyond the limit of a read. The VM took the end of the stream for
+/// its position and never read them.
+TEST(StoreClient, RecordsBehindTheLimitOfAReadAreNotSkipped) {
+  const SlowStore Store(largeAnswer(1000, 3), 1, milliseconds(0));
+  const StoreResult Read = readConfiguration(Store.address());
+  ASSERT_FALSE(Read);
+  EXPECT_TRUE(Read.error().m_IsPositionLost) << "a listing follows";
+}
+
 TEST(StoreClient, AnAnswerThatStopsArrivingFails) {
   const SlowStore Store(largeAnswer(1000), 2, milliseconds(1500));
   const StoreResult Read = readConfiguration(Store.address());
