--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -144,10 +144,10 @@
             .m_ServersTo = knownTo(Stream::Servers).value_or(Position{})};
   }
 
-  /// \brief Latest era that the store or another VM told.
+  /// \brief Latest era that the store or another VM reported.
   std::uint64_t era() const { return m_Era; }
 
-  /// \brief Takes the era that the store told. In a new era the streams are listed: at once, or,
+  /// \brief Takes the era that the store reported. In a new era the streams are listed: at once, or,
   /// when reads had failed before and all VMs may learn of the era now, as by spreadFirstReads().
   void noteEra(std::uint64_t Era, TimePoint Now);
 
--- a/include/vanillahill/fleet/position.hpp
+++ b/include/vanillahill/fleet/position.hpp
@@ -12,7 +12,7 @@
 /// offsets of the former era are then given out again for other records. Any position of a later
 /// era is behind every position of an earlier one.
 struct Position {
-  /// 0 when the store does not tell its era.
+  /// 0 when the store does not report its era.
   std::uint64_t m_Era = 0;
   /// Offset of the record within the era.
   std::uint64_t m_Offset = 0;
--- a/include/vanillahill/fleet/snapshot_fetcher.hpp
+++ b/include/vanillahill/fleet/snapshot_fetcher.hpp
@@ -77,7 +77,7 @@
 
   std::mt19937_64 m_Random;
   SnapshotRequest m_Wanted;
-  /// The VM that was heard of last is at the end.
+  /// In the order of their last announcement.
   std::vector<Holder> m_Holders;
   bool m_IsFetching = false;
   /// The last fetch was from a known holder and failed.
