Fleet: reads that wait for a fetch end within the bound and not all at once; holders are judged by what is missing

Tests: Follower.VmsDoNotAllReadAtTheLatestTime, SnapshotFetcher.ABusyHolderIsKeptWhileNoOtherIsAsFar and a case in AVmThatHasOlderRecordsIsNoSource.

--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -74,9 +74,10 @@
   /// Largest random time added to it for records that are too long for an announcement, as a share
   /// of the bound. VMs that all read them at the same time would wait long for the store.
   static constexpr double FetchSpreadShare = 0.25;
-  /// Age of what is known at which the store is read although records are being fetched, as a share
-  /// of the bound.
-  static constexpr double MaxFetchAgeShare = 0.8;
+  /// Bounds of the age of what is known at which the store is read although records are being
+  /// fetched, as shares of the bound. The rest of the bound is for the read.
+  static constexpr double MinFetchAgeShare = 0.55;
+  static constexpr double MaxFetchAgeShare = 0.7;
   /// Average number of VMs of one data centre that read the store when all of them start at the
   /// same time; the others fetch a snapshot from one of these.
   static constexpr double FirstReadVms = 8.0;
@@ -147,8 +148,9 @@
   /// \brief Latest era that the store or another VM reported.
   std::uint64_t era() const { return m_Era; }
 
-  /// \brief Takes the era that the store reported. In a new era the streams are listed: at once, or,
-  /// when reads had failed before and all VMs may learn of the era now, as by spreadFirstReads().
+  /// \brief Takes the era that the store reported. In a new era the streams are listed: at once,
+  /// or, when reads had failed before and all VMs may learn of the era now, as by
+  /// spreadFirstReads().
   void noteEra(std::uint64_t Era, TimePoint Now);
 
   /// \brief Reports that a read was answered, before its records are used.
@@ -210,6 +212,8 @@
     /// How long the last known read took, by this VM or another one.
     Duration m_ReadTime{};
     TimePoint m_NextReadAt{};
+    /// Latest time of the next read while records are being fetched.
+    std::optional<TimePoint> m_ReadBy;
     /// Position up to which some VM announced the records to all others.
     Position m_AnnouncedTo;
   };
--- a/include/vanillahill/fleet/snapshot_fetcher.hpp
+++ b/include/vanillahill/fleet/snapshot_fetcher.hpp
@@ -55,10 +55,11 @@
   /// \brief Earliest time of the next fetch.
   TimePoint nextAt() const { return m_NextAt; }
 
-  /// \brief A random VM that is known to have all wanted records.
+  /// \brief A random VM that is known to have all wanted records that are missing here.
+  /// \param Known what this VM knows
   /// \return nothing when none is known, or when the last one was busy: any other VM may have
   /// fetched the records by now
-  std::optional<std::string> drawHolder();
+  std::optional<std::string> drawHolder(const SnapshotRequest &Known);
 
   void started() { m_IsFetching = true; }
 
@@ -73,8 +74,6 @@
     SnapshotRequest m_Has;
   };
 
-  bool hasAllWanted(const Holder &Known) const;
-
   std::mt19937_64 m_Random;
   SnapshotRequest m_Wanted;
   /// In the order of their last announcement.
--- a/include/vanillahill/net/detail/platform_channel.hpp
+++ b/include/vanillahill/net/detail/platform_channel.hpp
@@ -19,6 +19,8 @@
   std::string m_Body = {};
   /// The request fails when nothing arrives for this long.
   Duration m_Timeout = std::chrono::seconds(2);
+  /// Longest time of the request.
+  Duration m_MaxTotal = ProgressTimeoutOptions().m_MaxTotal;
 };
 
 /// Connects on demand, reuses the connection and closes it after a failure. All members are
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -38,8 +38,9 @@
   const StreamState &State = state(Which);
   const bool IsLost =
       State.m_IsPositionLost || (State.m_Position && State.m_Position->m_Era < m_Era);
-  const bool AreSeveralMissing =
-      State.m_Position && State.m_AnnouncedTo.m_Offset > State.m_Position->m_Offset + 1;
+  const bool AreSeveralMissing = State.m_Position &&
+                                 State.m_AnnouncedTo.m_Era == State.m_Position->m_Era &&
+                                 State.m_AnnouncedTo.m_Offset > State.m_Position->m_Offset + 1;
   const bool IsListed = IsLost || (Which == Stream::Configuration && AreSeveralMissing);
   return IsListed ? std::nullopt : State.m_Position;
 }
@@ -100,6 +101,9 @@
   // After a lost position a lower one is valid, too: a store that tells no era may have gone back.
   State.m_Position =
       State.m_IsPositionLost ? To : std::max(State.m_Position.value_or(Position{}), To);
+  if (State.m_IsPositionLost) {
+    State.m_AnnouncedTo = To;
+  }
   State.m_IsPositionLost = false;
   State.m_CurrentAt = std::max(State.m_CurrentAt.value_or(AskedAt), AskedAt);
   State.m_ReadTime = Now - AskedAt;
@@ -193,12 +197,19 @@
     // An announcement that is heard again draws no second time.
     return;
   }
-  std::uniform_real_distribution<double> Share(FetchTimeShare, FetchTimeShare + FetchSpreadShare);
-  const auto Wait = std::chrono::duration_cast<Duration>(m_Options.m_Bound * Share(m_Random));
-  const auto MaxAge = std::chrono::duration_cast<Duration>(m_Options.m_Bound * MaxFetchAgeShare);
+  const auto ShareOfBound = [this](double Least, double Most) {
+    std::uniform_real_distribution<double> Share(Least, Most);
+    return std::chrono::duration_cast<Duration>(m_Options.m_Bound * Share(m_Random));
+  };
+  if (!State.m_ReadBy) {
+    const TimePoint KnownAt = State.m_CurrentAt.value_or(Now);
+    State.m_ReadBy = std::max(KnownAt + ShareOfBound(MinFetchAgeShare, MaxFetchAgeShare),
+                              Now + ShareOfBound(0.0, FetchTimeShare));
+  }
   State.m_AnnouncedTo = To;
   // The regular read waits for the fetch, too: it would read the same records.
-  State.m_NextReadAt = std::min(Now + Wait, State.m_CurrentAt.value_or(Now) + MaxAge);
+  const Duration Wait = ShareOfBound(FetchTimeShare, FetchTimeShare + FetchSpreadShare);
+  State.m_NextReadAt = std::min(Now + Wait, *State.m_ReadBy);
 }
 
 Position Follower::untoldFrom(const RecordRange &Range) const {
@@ -211,6 +222,7 @@
 }
 
 void Follower::scheduleRead(StreamState &State) {
+  State.m_ReadBy.reset();
   constexpr double HalfSpread = ReadSpreadShare / 2;
   std::bernoulli_distribution IsEarly(std::min(EarlyVms / static_cast<double>(m_FleetSize), 1.0));
   std::uniform_real_distribution<double> Spread(0.0, HalfSpread);
--- a/src/fleet/snapshot_fetcher.cpp
+++ b/src/fleet/snapshot_fetcher.cpp
@@ -6,11 +6,11 @@
 
 void SnapshotFetcher::announced(std::string_view Ip, Stream Which, const Position &To, bool IsOffer,
                                 TimePoint Now) {
-  const auto positionIn = [Which](SnapshotRequest &Positions) -> Position & {
+  const auto PositionIn = [Which](SnapshotRequest &Positions) -> Position & {
     return Which == Stream::Configuration ? Positions.m_ConfigurationTo : Positions.m_ServersTo;
   };
-  const bool IsNews = To > positionIn(m_Wanted);
-  positionIn(m_Wanted) = std::max(positionIn(m_Wanted), To);
+  const bool IsNews = To > PositionIn(m_Wanted);
+  PositionIn(m_Wanted) = std::max(PositionIn(m_Wanted), To);
   Holder Added{.m_Ip = std::string(Ip)};
   const auto Found = std::find_if(m_Holders.begin(), m_Holders.end(),
                                   [Ip](const Holder &Known) { return Known.m_Ip == Ip; });
@@ -20,7 +20,7 @@
   } else if (m_Holders.size() == MaxHolders) {
     m_Holders.erase(m_Holders.begin());
   }
-  positionIn(Added.m_Has) = std::max(positionIn(Added.m_Has), To);
+  PositionIn(Added.m_Has) = std::max(PositionIn(Added.m_Has), To);
   m_Holders.push_back(std::move(Added));
   if (IsOffer) {
     m_HasHolderFailed = false;
@@ -31,16 +31,13 @@
   }
 }
 
-bool SnapshotFetcher::hasAllWanted(const Holder &Known) const {
-  return Known.m_Has.m_ConfigurationTo >= m_Wanted.m_ConfigurationTo &&
-         Known.m_Has.m_ServersTo >= m_Wanted.m_ServersTo;
-}
-
-std::optional<std::string> SnapshotFetcher::drawHolder() {
+std::optional<std::string> SnapshotFetcher::drawHolder(const SnapshotRequest &Known) {
   std::vector<std::string_view> Candidates;
-  for (const Holder &Known : m_Holders) {
-    if (hasAllWanted(Known)) {
-      Candidates.push_back(Known.m_Ip);
+  for (const Holder &Other : m_Holders) {
+    if (std::max(Other.m_Has.m_ConfigurationTo, Known.m_ConfigurationTo) >=
+            m_Wanted.m_ConfigurationTo &&
+        std::max(Other.m_Has.m_ServersTo, Known.m_ServersTo) >= m_Wanted.m_ServersTo) {
+      Candidates.push_back(Other.m_Ip);
     }
   }
   if (Candidates.empty() || m_HasHolderFailed) {
@@ -52,16 +49,23 @@
 
 void SnapshotFetcher::ended(std::string_view Source, bool HasSucceeded, TimePoint Now) {
   m_IsFetching = false;
-  m_HasHolderFailed = !HasSucceeded && !m_HasHolderFailed;
+  const auto Found = std::find_if(m_Holders.begin(), m_Holders.end(),
+                                  [Source](const Holder &Known) { return Known.m_Ip == Source; });
+  m_HasHolderFailed = !HasSucceeded && Found != m_Holders.end();
   if (HasSucceeded) {
     m_NextAt = Now;
     return;
   }
   std::uniform_int_distribution<Duration::rep> Pause(MinPause.count(), MaxPause.count());
   m_NextAt = Now + Duration(Pause(m_Random));
-  // The last holder is kept: it may only have been busy.
-  if (m_Holders.size() > 1) {
-    std::erase_if(m_Holders, [Source](const Holder &Known) { return Known.m_Ip == Source; });
+  // A holder is kept while no other one is as far: it may only have been busy.
+  const auto IsAsFar = [&](const Holder &Other) {
+    return Other.m_Ip != Source &&
+           Other.m_Has.m_ConfigurationTo >= Found->m_Has.m_ConfigurationTo &&
+           Other.m_Has.m_ServersTo >= Found->m_Has.m_ServersTo;
+  };
+  if (m_HasHolderFailed && std::any_of(m_Holders.begin(), m_Holders.end(), IsAsFar)) {
+    m_Holders.erase(Found);
   }
 }
 
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -534,7 +534,7 @@
   if (!m_Fetcher.mayStart(Now)) {
     return;
   }
-  auto Source = m_Fetcher.drawHolder();
+  auto Source = m_Fetcher.drawHolder(m_Follower.known());
   if (!Source) {
     Source = m_Peers.drawSnapshotSource();
   }
--- a/src/net/platform_channel.cpp
+++ b/src/net/platform_channel.cpp
@@ -18,7 +18,8 @@
                                            Then = std::move(Done)]() mutable {
     Self->m_CurrentRequest = std::move(Moved);
     Self->m_Done = std::move(Then);
-    Self->m_Progress = ProgressTimeout({.m_MaxSilence = Self->m_CurrentRequest.m_Timeout});
+    Self->m_Progress = ProgressTimeout({.m_MaxSilence = Self->m_CurrentRequest.m_Timeout,
+                                        .m_MaxTotal = Self->m_CurrentRequest.m_MaxTotal});
     Self->m_Progress.start(SystemClock().now());
     Self->m_Stream.expires_at(Self->m_Progress.expiresAt());
     if (Self->m_IsConnected) {
--- a/tests/unit-follower.cpp
+++ b/tests/unit-follower.cpp
@@ -186,6 +186,24 @@
   EXPECT_LE(Reader.nextTimer(), Start + Bound * 4 / 5);
 }
 
+/// A slow store makes an announcement old. The reads must not all fall on the latest time then.
+TEST(Follower, VmsDoNotAllReadAtTheLatestTime) {
+  for (const TimePoint Now : {Start + Bound * 3 / 5, Start + Bound * 2}) {
+    std::set<TimePoint> Times;
+    for (std::uint64_t Seed = 1; Seed <= 100; ++Seed) {
+      Follower Reader = follower(Seed);
+      for (const Stream Which : {Stream::Configuration, Stream::Servers}) {
+        Reader.nextRead(Start);
+        Reader.readSucceeded(Which, {.m_Offset = 10}, Start, Start);
+      }
+      Reader.adopt(Stream::Servers, {.m_Offset = 10}, Now);
+      Reader.readUnlessFetched(Stream::Configuration, {.m_Offset = 11}, Now);
+      Times.insert(Reader.nextTimer());
+    }
+    EXPECT_GT(Times.size(), 50U);
+  }
+}
+
 /// A VM that is behind read each of several large configurations over its slow link.
 TEST(Follower, OfSeveralMissingConfigurationsOnlyTheNewestIsRead) {
   Follower Reader = current();
--- a/tests/unit-snapshot-fetcher.cpp
+++ b/tests/unit-snapshot-fetcher.cpp
@@ -36,10 +36,12 @@
   Fetcher.announced("10.0.0.1", Stream::Configuration, {.m_Offset = 5}, false, Start);
   Fetcher.announced("10.0.0.2", Stream::Configuration, {.m_Offset = 6}, false, Start);
   for (int Draw = 0; Draw < 20; ++Draw) {
-    EXPECT_EQ(Fetcher.drawHolder(), "10.0.0.2");
+    EXPECT_EQ(Fetcher.drawHolder({}), "10.0.0.2");
   }
   Fetcher.announced("10.0.0.1", Stream::Servers, {.m_Offset = 90}, false, Start);
-  EXPECT_FALSE(Fetcher.drawHolder()) << "no VM is known to have both";
+  EXPECT_FALSE(Fetcher.drawHolder({})) << "no VM is known to have both";
+  EXPECT_EQ(Fetcher.drawHolder({.m_ServersTo = {.m_Offset = 90}}), "10.0.0.2")
+      << "the servers are known here";
 }
 
 TEST(SnapshotFetcher, ASourceThatFailsIsReplacedByAnother) {
@@ -51,15 +53,27 @@
   Fetcher.ended("10.0.0.2", false, Start);
   EXPECT_FALSE(Fetcher.mayStart(Start)) << "a pause follows";
   EXPECT_TRUE(Fetcher.mayStart(Start + SnapshotFetcher::MaxPause));
-  EXPECT_FALSE(Fetcher.drawHolder()) << "any VM may have the records by now";
+  EXPECT_FALSE(Fetcher.drawHolder({})) << "any VM may have the records by now";
   Fetcher.started();
   Fetcher.ended("10.0.0.7", false, Start);
-  EXPECT_EQ(Fetcher.drawHolder(), "10.0.0.1");
+  EXPECT_EQ(Fetcher.drawHolder({}), "10.0.0.1");
   Fetcher.started();
   Fetcher.ended("10.0.0.1", false, Start);
   Fetcher.started();
   Fetcher.ended("10.0.0.7", false, Start);
-  EXPECT_EQ(Fetcher.drawHolder(), "10.0.0.1") << "the only one is tried again";
+  EXPECT_EQ(Fetcher.drawHolder({}), "10.0.0.1") << "the only one is tried again";
+}
+
+/// With a holder of older records left, the only one of the newest was forgotten when it was busy.
+TEST(SnapshotFetcher, ABusyHolderIsKeptWhileNoOtherIsAsFar) {
+  SnapshotFetcher Fetcher(1);
+  Fetcher.announced("10.0.0.1", Stream::Servers, {.m_Offset = 5}, true, Start);
+  Fetcher.announced("10.0.0.2", Stream::Servers, {.m_Offset = 6}, true, Start);
+  Fetcher.started();
+  Fetcher.ended("10.0.0.2", false, Start);
+  Fetcher.started();
+  Fetcher.ended("10.0.0.9", false, Start);
+  EXPECT_EQ(Fetcher.drawHolder({}), "10.0.0.2");
 }
 
 /// Simulates a data centre on a clock that advances in steps of one millisecond. One VM announces
@@ -111,7 +125,7 @@
     if (Receiver.m_HasRecords || !Receiver.m_Fetcher.mayStart(Now)) {
       return;
     }
-    const std::string Source = Receiver.m_Fetcher.drawHolder().value_or(std::to_string(drawVm()));
+    const std::string Source = Receiver.m_Fetcher.drawHolder({}).value_or(std::to_string(drawVm()));
     Receiver.m_Fetcher.started();
     Vm &Sender = m_Vms[std::stoul(Source)];
     if (Sender.m_HasRecords && Sender.m_Transfers.size() < SnapshotFetcher::MaxTransfers) {
