--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -57,6 +57,10 @@
     BackendView View = Known != nullptr ? *Known : BackendView{};
     if (Known == nullptr) {
       View.m_Fitness = m_UnlistedFitness.take(Server.m_Id);
+      // Attempts that were sent before the server's record lapsed may still run.
+      View.m_InFlight = static_cast<std::uint32_t>(
+          std::count_if(m_Attempts.begin(), m_Attempts.end(),
+                        [&](const auto &Sent) { return Sent.second.m_Server == Server.m_Id; }));
     }
     View.m_Settings = Server;
     View.m_IsLocal = Server.m_DataCenter == m_Context.m_DataCenter;
--- a/src/net/platform_channel.cpp
+++ b/src/net/platform_channel.cpp
@@ -124,6 +124,8 @@
 
 void PlatformChannel::completeRequest(Result<std::string> Outcome) {
   if (m_IsClosed) {
+    // The handler may own this channel.
+    m_Done = nullptr;
     return;
   }
   m_Stream.expires_never();
