--- a/tests/soak/test_stop.py
+++ b/tests/soak/test_stop.py
@@ -36,8 +36,10 @@
 
     async def asyncSetUp(self):
         self.temporary = tempfile.TemporaryDirectory()
-        options = argparse.Namespace(seed=next(self.seeds), build=BUILD, vms=1, servers=3,
+        options = argparse.Namespace(seed=next(self.seeds), scenario=[], mixed=False,
+                                     build=BUILD, vms=1, servers=3,
                                      callers=1, per_second=1)
+        self.options = options
         self.testbed = Testbed(options, pathlib.Path(self.temporary.name))
         await self.testbed.open()
         self.vm = self.testbed.vms[0]
@@ -60,7 +62,7 @@
     @unittest.mock.patch.object(callers, "IMPATIENT_SHARE", 0.0)
     async def test_ends_before_grace_beside_servers_that_hang(self):
         sending = await self.hang_requests()
-        await Faults(self.testbed).stop(self.vm, self.testbed.clock())
+        await Faults(self.testbed, self.options).stop(self.vm, self.testbed.clock())
         await sending
         self.assertEqual([], self.testbed.history.bad_stops)
         lines = [json.loads(line) for line in self.vm.log_path.read_text().splitlines()]
