--- a/include/vanillahill/kernel/status.hpp
+++ b/include/vanillahill/kernel/status.hpp
@@ -71,7 +71,7 @@
   bool m_SaidLeaving = false;
   /// How much longer the server wants no request from this VM.
   Duration m_PauseLeft{};
-  /// Pauses that it has asked this VM for.
+  /// Pauses requested from this VM.
   std::uint64_t m_Pauses = 0;
   std::uint64_t m_Probes = 0;
 };
