Servers' limits are read and logged

Callers saw nothing; an operator could not tell which VM was told of a server's limit, when, or that it was not read. The header is decoded once, in platform/: a decimal number of requests per second; the lowest of several holds; a malformed value, or a reply that is not the server's own, says nothing. Only a reply to a request that ran and names none ends a limit, and only if that request was sent after the last statement was received, since replies on several connections may overtake each other. One log line for each change, two gauges, the status. Nothing is decided by it yet.

--- a/include/vanillahill/kernel/decision.hpp
+++ b/include/vanillahill/kernel/decision.hpp
@@ -43,6 +43,8 @@
   ServerPaused,
   /// The first request or probe was sent to a server after a pause.
   ServerPauseEnded,
+  /// A server named another limit on its requests, or none any more.
+  ServerLimitChanged,
 };
 
 /// \brief The name of a decision as written to logs.
@@ -68,7 +70,9 @@
   Duration m_Took{};
   /// Time left until the deadline.
   Duration m_TimeLeft{};
-  /// How an attempt ended, or why the request was refused.
+  /// Requests per second that the server takes from all VMs together, infinite without a limit.
+  std::optional<double> m_RequestLimit = std::nullopt;
+  /// How an attempt ended, why the request was refused, or where a statement of the server stood.
   std::string_view m_Outcome = {};
   /// Status code of a server's reply; 0 if there is none.
   std::uint32_t m_Status = 0;
--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -10,6 +10,7 @@
 #include "vanillahill/settings/settings.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -108,6 +109,9 @@
   RequestId m_Request{};
 };
 
+/// A server's limit on requests per second when it names none.
+inline constexpr double NoRequestLimit = std::numeric_limits<double>::infinity();
+
 /// An attempt ended. Sent exactly once for each Dispatch, also after CancelAttempt.
 struct AttemptEnded {
   AttemptId m_Attempt{};
@@ -118,6 +122,9 @@
   bool m_ServerLeaving = false;
   /// How long the server wants no request from this VM; zero if it did not say.
   Duration m_PauseFor{};
+  /// Requests per second that the server takes from all VMs together, NoRequestLimit when its reply
+  /// names no limit; empty when the reply says nothing about it.
+  std::optional<double> m_RequestLimit;
   /// Set when the reply told the server's load.
   std::optional<LoadReport> m_Load;
   /// Another server has the address now.
@@ -136,6 +143,9 @@
   bool m_ServerLeaving = false;
   /// How long the server wants no request from this VM; zero if it did not say.
   Duration m_PauseFor{};
+  /// Requests per second that the server takes from all VMs together, NoRequestLimit when its reply
+  /// names no limit; empty when the reply says nothing about it.
+  std::optional<double> m_RequestLimit;
   /// Another server has the address now.
   bool m_WrongServer = false;
 };
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -48,6 +48,8 @@
   Fitness &fitnessOf(ServerId Server);
   void recordPause(ServerId Server, Duration Length, std::string_view Source, Duration Age,
                    TimePoint Now, Actions &Out);
+  void recordLimit(ServerId Server, double PerSecond, std::string_view Source, TimePoint SentAt,
+                   TimePoint Now, Actions &Out);
   static void noticePauseEnd(BackendView &Backend, TimePoint Now, Actions &Out);
   Duration timeUntilResumed(TimePoint PauseEnd, TimePoint Now);
   void recordLeaving(ServerId Server, std::string_view Source, Duration Age, TimePoint Now,
--- a/include/vanillahill/kernel/probed/fitness.hpp
+++ b/include/vanillahill/kernel/probed/fitness.hpp
@@ -5,6 +5,7 @@
 
 #include "vanillahill/core/ids.hpp"
 #include "vanillahill/core/time.hpp"
+#include "vanillahill/kernel/probed/request_limit.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -89,12 +90,17 @@
   /// \brief How many pauses have begun.
   std::uint64_t pauses() const { return m_Pauses; }
 
+  /// \brief The limit on the server's requests.
+  RequestLimit &limit() { return m_Limit; }
+  const RequestLimit &limit() const { return m_Limit; }
+
   /// \brief Whether there is anything to remember.
-  bool isEmpty() const { return !m_LeavingSince && m_Pauses == 0; }
+  bool isEmpty() const { return !m_LeavingSince && m_Pauses == 0 && !m_Limit.isInForce(); }
 
   /// \brief The latest time that a statement names; TimePoint::min() without one.
   TimePoint statedAt() const {
-    return std::max(m_LeavingSince.value_or(TimePoint::min()), m_PausedUntil);
+    return std::max({m_LeavingSince.value_or(TimePoint::min()), m_PausedUntil,
+                     m_Limit.isInForce() ? m_Limit.statedAt() : TimePoint::min()});
   }
 
 private:
@@ -103,6 +109,7 @@
   TimePoint m_PausedUntil = TimePoint::min();
   std::uint64_t m_Pauses = 0;
   bool m_IsEndUnnoticed = false;
+  RequestLimit m_Limit;
 };
 
 /// Statements of servers that the settings do not list at present. The record of a server may lapse
--- a/include/vanillahill/kernel/status.hpp
+++ b/include/vanillahill/kernel/status.hpp
@@ -73,6 +73,10 @@
   Duration m_PauseLeft{};
   /// Pauses requested from this VM.
   std::uint64_t m_Pauses = 0;
+  /// Requests per second that the server takes from all VMs together; empty without a limit.
+  std::optional<double> m_RequestLimit;
+  /// Requests per second that this VM may send of these; empty without a limit.
+  std::optional<double> m_LimitShare;
   std::uint64_t m_Probes = 0;
 };
 
--- a/include/vanillahill/net/detail/backend_exchange.hpp
+++ b/include/vanillahill/net/detail/backend_exchange.hpp
@@ -29,6 +29,8 @@
   bool m_ServerLeaving = false;
   /// How long the server wants no request from this VM; zero if it did not say.
   Duration m_PauseFor{};
+  /// Requests per second that the server takes from all VMs together; see AttemptEnded.
+  std::optional<double> m_RequestLimit = std::nullopt;
   std::optional<kernel::LoadReport> m_Load = std::nullopt;
   /// Another server now has this address.
   bool m_WrongServer = false;
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -421,6 +421,9 @@
   if (Ended.m_PauseFor > Duration::zero()) {
     recordPause(Sent.m_Server, Ended.m_PauseFor, "request", Now - Sent.m_Started, Now, Out);
   }
+  if (Ended.m_RequestLimit) {
+    recordLimit(Sent.m_Server, *Ended.m_RequestLimit, "request", Sent.m_Started, Now, Out);
+  }
   updateBackend(Sent, Ended, Now, Out);
   if (Sent.m_IsAdditional && Ended.m_Result == AttemptResult::NotSent) {
     m_RetryBudget.returnToken();
@@ -604,6 +607,9 @@
   if (Ended.m_PauseFor > Duration::zero()) {
     recordPause(Ended.m_Server, Ended.m_PauseFor, "probe", Age, Now, Out);
   }
+  if (Ended.m_RequestLimit) {
+    recordLimit(Ended.m_Server, *Ended.m_RequestLimit, "probe", Now - Age, Now, Out);
+  }
   if (Backend == nullptr) {
     return;
   }
--- a/src/kernel/probed/dispatcher_report.cpp
+++ b/src/kernel/probed/dispatcher_report.cpp
@@ -67,6 +67,28 @@
   Out.push_back(std::move(Entry));
 }
 
+/// \param PerSecond requests per second, or NoRequestLimit
+/// \param Source what the server replied to
+/// \param SentAt when that was sent
+void Dispatcher::recordLimit(ServerId Server, double PerSecond, std::string_view Source,
+                             TimePoint SentAt, TimePoint Now, Actions &Out) {
+  BackendView *Backend = findBackend(Server);
+  if (Backend == nullptr && !std::isfinite(PerSecond)) {
+    return;
+  }
+  if (!fitnessOf(Server).limit().record(PerSecond, SentAt, Now)) {
+    return;
+  }
+  Decision Entry{.m_Type = DecisionType::ServerLimitChanged,
+                 .m_Took = Now - SentAt,
+                 .m_RequestLimit = PerSecond,
+                 .m_Outcome = Source};
+  if (Backend != nullptr) {
+    addBackendState(Entry, *Backend, Now);
+  }
+  Out.push_back(std::move(Entry));
+}
+
 void Dispatcher::noticePauseEnd(BackendView &Backend, TimePoint Now, Actions &Out) {
   const auto Age = Backend.m_Fitness.noticePauseEnd(Now);
   if (!Age) {
@@ -100,17 +122,19 @@
 void Dispatcher::appendStatus(TimePoint Now, NodeStatus &Status) const {
   appendUsed(m_Kinds.allCounters(), Status.m_Kinds);
   for (const BackendView &Backend : m_Backends) {
-    Status.m_Servers.push_back({.m_Server = Backend.m_Settings.m_Id,
-                                .m_Name = m_Settings.m_Name + "/" + Backend.m_Settings.m_Name,
-                                .m_InFlight = Backend.m_InFlight,
-                                .m_Ejected = Backend.m_FailureScore.value(Now) >= SetAsideScore,
-                                .m_Leaving = Backend.isLeaving(),
-                                .m_SaidLeaving = Backend.m_Fitness.isLeaving(),
-                                .m_PauseLeft = Backend.m_Fitness.isPaused(Now)
-                                                   ? Backend.m_Fitness.pausedUntil() - Now
-                                                   : Duration{},
-                                .m_Pauses = Backend.m_Fitness.pauses(),
-                                .m_Probes = Backend.m_Probes});
+    const RequestLimit &Limit = Backend.m_Fitness.limit();
+    Status.m_Servers.push_back(
+        {.m_Server = Backend.m_Settings.m_Id,
+         .m_Name = m_Settings.m_Name + "/" + Backend.m_Settings.m_Name,
+         .m_InFlight = Backend.m_InFlight,
+         .m_Ejected = Backend.m_FailureScore.value(Now) >= SetAsideScore,
+         .m_Leaving = Backend.isLeaving(),
+         .m_SaidLeaving = Backend.m_Fitness.isLeaving(),
+         .m_PauseLeft =
+             Backend.m_Fitness.isPaused(Now) ? Backend.m_Fitness.pausedUntil() - Now : Duration{},
+         .m_Pauses = Backend.m_Fitness.pauses(),
+         .m_RequestLimit = Limit.isInForce() ? std::optional(Limit.perSecond()) : std::nullopt,
+         .m_Probes = Backend.m_Probes});
   }
   Status.m_InFlight += m_Attempts.size();
   Status.m_Queued += m_SearchingRequests.size();
--- a/src/kernel/reasons.cpp
+++ b/src/kernel/reasons.cpp
@@ -82,6 +82,8 @@
     return "server_paused";
   case DecisionType::ServerPauseEnded:
     return "server_pause_ended";
+  case DecisionType::ServerLimitChanged:
+    return "server_limit_changed";
   }
   return "unknown";
 }
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -270,6 +270,7 @@
                               .m_Answered = End.m_Answered,
                               .m_ServerLeaving = End.m_ServerLeaving,
                               .m_PauseFor = End.m_PauseFor,
+                              .m_RequestLimit = End.m_RequestLimit,
                               .m_WrongServer = End.m_WrongServer});
     return;
   }
@@ -279,6 +280,7 @@
                               .m_Reply = std::move(End.m_Reply),
                               .m_ServerLeaving = End.m_ServerLeaving,
                               .m_PauseFor = End.m_PauseFor,
+                              .m_RequestLimit = End.m_RequestLimit,
                               .m_Load = End.m_Load,
                               .m_WrongServer = End.m_WrongServer});
 }
--- a/src/net/status_json.cpp
+++ b/src/net/status_json.cpp
@@ -49,6 +49,10 @@
           {"retries", countersJson<kernel::RetryReason>(Kind.m_Retries)}};
 }
 
+json rateJson(const std::optional<double> &PerSecond) {
+  return PerSecond ? json(*PerSecond) : json(nullptr);
+}
+
 json serverJson(const kernel::ServerStatus &Server) {
   return {{"name", Server.m_Name},
           {"in_flight", Server.m_InFlight},
@@ -58,6 +62,8 @@
           {"said_leaving", Server.m_SaidLeaving},
           {"pause_left_ms", toMillis(Server.m_PauseLeft)},
           {"pauses", Server.m_Pauses},
+          {"limit_per_s", rateJson(Server.m_RequestLimit)},
+          {"limit_share_per_s", rateJson(Server.m_LimitShare)},
           {"measuring_requests", Server.m_Probes}};
 }
 
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -48,6 +48,11 @@
   if (Made.m_Asked > 0) {
     Fields.push_back({"asked", std::to_string(Made.m_Asked)});
   }
+  if (Made.m_RequestLimit) {
+    Fields.push_back({"limit_per_s", std::isfinite(*Made.m_RequestLimit)
+                                         ? toTwoDecimals(*Made.m_RequestLimit)
+                                         : std::string("none")});
+  }
   if (Made.m_Took > Duration::zero()) {
     Fields.push_back({"took_us", microsText(Made.m_Took)});
   }
@@ -83,6 +88,7 @@
   case DecisionType::ServerSaidLeaving:
   case DecisionType::ServerPaused:
   case DecisionType::ServerPauseEnded:
+  case DecisionType::ServerLimitChanged:
     return true;
   case DecisionType::AttemptEnded:
     return Made.m_Outcome != "completed" && Made.m_Outcome != "cancelled";
--- a/src/observe/status_metrics.cpp
+++ b/src/observe/status_metrics.cpp
@@ -107,6 +107,12 @@
                        MetricType::Gauge);
   FamilyBuilder Pauses("vanillahill_server_pauses_total", "Pauses asked for by a backend server",
                        MetricType::Counter);
+  FamilyBuilder Limit("vanillahill_server_limit_per_second",
+                      "Requests per second that a backend server takes from all VMs together",
+                      MetricType::Gauge);
+  FamilyBuilder Share("vanillahill_server_limit_share_per_second",
+                      "Requests per second that this VM may send to a limited backend server",
+                      MetricType::Gauge);
   FamilyBuilder Probes("vanillahill_server_measuring_requests_total",
                        "Measuring requests to a backend server", MetricType::Counter);
   for (const auto &Server : Status.m_Servers) {
@@ -117,6 +123,10 @@
     SaidLeaving.add(LabelSet, Server.m_SaidLeaving ? 1 : 0);
     Paused.add(LabelSet, Server.m_PauseLeft > Duration::zero() ? 1 : 0);
     Pauses.add(LabelSet, static_cast<double>(Server.m_Pauses));
+    if (Server.m_RequestLimit) {
+      Limit.add(LabelSet, *Server.m_RequestLimit);
+      Share.add(LabelSet, Server.m_LimitShare.value_or(0.0));
+    }
     Probes.add(LabelSet, static_cast<double>(Server.m_Probes));
   }
   InFlight.appendTo(Out);
@@ -125,6 +135,8 @@
   SaidLeaving.appendTo(Out);
   Paused.appendTo(Out);
   Pauses.appendTo(Out);
+  Limit.appendTo(Out);
+  Share.appendTo(Out);
   Probes.appendTo(Out);
 }
 
--- a/tests/probed_harness.hpp
+++ b/tests/probed_harness.hpp
@@ -39,6 +39,8 @@
   Duration m_PauseFor{};
   /// The same for its replies to probes.
   Duration m_ProbePauseFor{};
+  /// Requests per second that its replies name as its limit.
+  std::optional<double> m_Limit;
   /// Attempts that wait for a slot.
   std::deque<AttemptId> m_Queue;
   /// The request of each attempt that it received.
@@ -202,6 +204,11 @@
     const auto Found = m_SaidLeavingAt.find(Server);
     return Found == m_SaidLeavingAt.end() ? std::nullopt : std::optional(Found->second);
   }
+  /// When a VM received the first reply in which a server named a limit.
+  std::optional<TimePoint> limitToldAt(ServerId Server, std::size_t Vm) const {
+    const auto Found = m_LimitToldAt.find({Server, Vm});
+    return Found == m_LimitToldAt.end() ? std::nullopt : std::optional(Found->second);
+  }
   /// The pauses that the servers asked for, in order.
   const std::vector<AskedPause> &askedPauses() const { return m_Pauses; }
   /// Everything that was sent to the servers, in order.
@@ -401,6 +408,12 @@
       Ended.m_PauseFor = Fake.m_PauseFor;
       m_Pauses.push_back({.m_Server = Server, .m_At = Now, .m_Length = Ended.m_PauseFor});
     }
+    if (Ended.m_Result == AttemptResult::Completed) {
+      Ended.m_RequestLimit = Fake.m_Limit.value_or(NoRequestLimit);
+      if (Fake.m_Limit) {
+        m_LimitToldAt.try_emplace({Server, Vm}, Now);
+      }
+    }
     if (Ended.m_ServerLeaving && Vm == 0) {
       m_SaidLeavingAt.emplace(Server, Now);
     }
@@ -424,6 +437,7 @@
   std::map<RequestId, TimePoint> m_AnsweredAt;
   std::map<RequestId, TimePoint> m_ArrivedAt;
   std::map<ServerId, TimePoint> m_SaidLeavingAt;
+  std::map<std::pair<ServerId, std::size_t>, TimePoint> m_LimitToldAt;
   std::vector<Sent> m_Sent;
   std::vector<AskedPause> m_Pauses;
   std::vector<Decision> m_Decisions;
--- a/tests/unit-platform-dialect.cpp
+++ b/tests/unit-platform-dialect.cpp
@@ -123,5 +123,69 @@
   EXPECT_TRUE(Has("Response-Signature"));
 }
 
+TEST(PlatformDialect, ALimitIsADecimalNumberOfRequestsPerSecond) {
+  EXPECT_EQ(decodeRequestLimit("6"), 6.0);
+  EXPECT_EQ(decodeRequestLimit("5.7"), 5.7);
+  EXPECT_EQ(decodeRequestLimit("0.3"), 0.3);
+  EXPECT_EQ(decodeRequestLimit("0"), 0.0);
+  EXPECT_EQ(decodeRequestLimit("1000000000"), 1e9);
+  const std::string TooLarge(400, '9');
+  for (const std::string_view Text : {"", "-1", "+3", "many", "6/s", "6 ", " 6", "3,5", "1e9",
+                                      "0x5", "nan", "inf", "infinity", "-inf", TooLarge.c_str()}) {
+    EXPECT_EQ(decodeRequestLimit(Text), std::nullopt) << Text;
+  }
+}
+
+constexpr Header Limit{"Server-Limit", "6"};
+
+TEST(PlatformDialect, OnlyAServersOwnReplyNamesALimit) {
+  const auto Exchange = requestExchange();
+  EXPECT_EQ(read(replyOf(200, {OwnId, Signature, Limit}), Exchange).m_RequestLimit, 6.0);
+  EXPECT_EQ(read(replyOf(500, {OwnId, Signature, Limit}), Exchange).m_RequestLimit, 6.0);
+  EXPECT_EQ(read(replyOf(503, {OwnId, NotRun, Limit}), Exchange).m_RequestLimit, 6.0);
+  EXPECT_EQ(read(replyOf(200, {{"Instance-Id", "i-1"}, Limit}), probeExchange()).m_RequestLimit,
+            6.0);
+  for (const Header &Other : {Header{"Content-Encoding", "gzip"}, Header{"X", "unsigned"}}) {
+    const Header &Proof = Other.m_Name == std::string_view("X") ? Other : Signature;
+    EXPECT_EQ(read(replyOf(200, {OwnId, Proof, Other, Limit}), Exchange).m_RequestLimit,
+              std::nullopt);
+  }
+  EXPECT_EQ(read(replyOf(421, {OwnId, NotRun, Limit}), Exchange).m_RequestLimit, std::nullopt);
+  EXPECT_EQ(read(replyOf(200, {{"Instance-Id", "i-2"}, Limit}), probeExchange()).m_RequestLimit,
+            std::nullopt);
+}
+
+TEST(PlatformDialect, OnlyAReplyToARequestThatRanEndsALimit) {
+  const auto Exchange = requestExchange();
+  EXPECT_EQ(read(replyOf(200, {OwnId, Signature}), Exchange).m_RequestLimit,
+            kernel::NoRequestLimit);
+  EXPECT_EQ(read(replyOf(503, {OwnId, NotRun}), Exchange).m_RequestLimit, std::nullopt);
+  EXPECT_EQ(read(replyOf(200, {OwnId}), Exchange).m_RequestLimit, std::nullopt) << "unsigned";
+  EXPECT_EQ(read(replyOf(200, {{"Instance-Id", "i-1"}}), probeExchange()).m_RequestLimit,
+            std::nullopt);
+  for (const char *Malformed : {"", "-1", "nan"}) {
+    EXPECT_EQ(read(replyOf(200, {OwnId, Signature, {"Server-Limit", Malformed}}), Exchange)
+                  .m_RequestLimit,
+              std::nullopt)
+        << "a malformed value neither names nor ends a limit";
+  }
+}
+
+TEST(PlatformDialect, TheLowestOfSeveralLimitsHolds) {
+  HttpReply Message = replyOf(200, {OwnId, Signature, Limit});
+  Message.insert("Server-Limit", "2.5");
+  EXPECT_EQ(read(Message, requestExchange()).m_RequestLimit, 2.5);
+  Message.insert("Server-Limit", "nan");
+  EXPECT_EQ(read(Message, requestExchange()).m_RequestLimit, std::nullopt);
+}
+
+TEST(PlatformDialect, ALimitIsNotPassedOnToCallers) {
+  const auto End = read(replyOf(200, {OwnId, Signature, Limit}), requestExchange());
+  ASSERT_NE(End.m_Reply, nullptr);
+  for (const ReplyHeader &Passed : End.m_Reply->m_Headers) {
+    EXPECT_NE(Passed.m_Name, "Server-Limit");
+  }
+}
+
 } // namespace
 } // namespace vanillahill::wire
