--- a/tests/unit-server-limit.cpp
+++ b/tests/unit-server-limit.cpp
@@ -3,6 +3,46 @@
 namespace vanillahill::kernel::probed {
 namespace {
 
+/// Length of the windows in which the requests to a limited server are counted.
+constexpr Duration Window = seconds(4);
+/// A VM that was told of a limit for this long counts.
+constexpr Duration ToldFor = milliseconds(500);
+
+/// Most requests in a window that a limit allows.
+double allowedInWindow(double PerSecond) {
+  constexpr double Excess = 1.5;
+  constexpr double Spare = 5.0;
+  return Excess * PerSecond * std::chrono::duration<double>(Window).count() + Spare;
+}
+
+/// The largest number of times within one window.
+std::size_t mostInWindow(std::span<const TimePoint> Times) {
+  std::size_t Most = 0;
+  std::size_t First = 0;
+  for (std::size_t Last = 0; Last < Times.size(); ++Last) {
+    while (Times[Last] - Times[First] > Window) {
+      ++First;
+    }
+    Most = std::max(Most, Last - First + 1);
+  }
+  return Most;
+}
+
+/// Requests to a server from VMs that it had told of a limit.
+std::vector<TimePoint> sentByTold(const DispatcherHarness &Service, std::size_t Index) {
+  std::vector<TimePoint> Times;
+  for (const Sent &Each : Service.sent()) {
+    if (Each.m_Server != DispatcherHarness::serverId(Index) || !Each.m_Request) {
+      continue;
+    }
+    const auto Told = Service.limitToldAt(Each.m_Server, Each.m_Vm);
+    if (Told && Each.m_At >= *Told + ToldFor) {
+      Times.push_back(Each.m_At);
+    }
+  }
+  return Times;
+}
+
 /// Requests of both kinds arrive evenly at all VMs.
 void serve(DispatcherHarness &Service, std::size_t Vms, double PerSecond, Duration Length) {
   const auto Step =
@@ -14,6 +54,18 @@
   }
 }
 
+TEST(ServerLimit, TwentyVmsTogetherDoNotSendMoreThanALimitedServerTakes) {
+  constexpr std::size_t Vms = 20;
+  constexpr std::size_t Servers = 22;
+  DispatcherHarness Service(Servers, {}, Vms);
+  serve(Service, Vms, 290.0, seconds(2));
+  Service.server(0).m_Limit = 6.0;
+  Service.server(1).m_Limit = 0.5;
+  serve(Service, Vms, 290.0, seconds(12));
+  EXPECT_LE(mostInWindow(sentByTold(Service, 0)), allowedInWindow(6.0));
+  EXPECT_LE(mostInWindow(sentByTold(Service, 1)), allowedInWindow(0.5));
+}
+
 TEST(ServerLimit, OneLineTellsOfEachChangeOfALimit) {
   DispatcherHarness Service(1);
   Service.server(0).m_Limit = 50.0;
