--- a/include/vanillahill/fleet/news.hpp
+++ b/include/vanillahill/fleet/news.hpp
@@ -61,6 +61,17 @@
   ServerId m_Server{};
 };
 
+/// A backend server named a limit on the requests that it takes from all VMs together.
+struct ServerLimited {
+  ServerId m_Server{};
+  /// Requests per second; empty when the limit has ended.
+  std::optional<double> m_PerSecond;
+  /// Time since the sender sent the request to which the server replied.
+  Duration m_Age{};
+  /// The receiver is to pass the message on to the VMs of its own data centre.
+  bool m_IsForRelay = false;
+};
+
 /// The contents of the store as one VM knows them, for a VM that has not read the store or that the
 /// store does not answer. Too long for datagrams: VMs fetch it from each other over HTTP.
 struct Snapshot {
@@ -83,7 +94,8 @@
   std::string m_Bytes;
 };
 
-using News = std::variant<Hello, PeerList, StoreNews, ServerFailed, Piece, Snapshot>;
+/// The position in the list is the type in a frame.
+using News = std::variant<Hello, PeerList, StoreNews, ServerFailed, Piece, Snapshot, ServerLimited>;
 
 /// \brief Encodes a message into one frame, whatever its size.
 std::string encodeNews(const News &Message);
--- a/include/vanillahill/fleet/peers.hpp
+++ b/include/vanillahill/fleet/peers.hpp
@@ -95,6 +95,12 @@
   /// \brief All known local VMs, without this one.
   std::vector<std::string> local() const;
 
+  /// \brief The other data centres with at least one known VM.
+  std::vector<std::string> remoteDataCenters() const;
+
+  /// \brief Counts the changes of local() and remoteDataCenters().
+  std::uint64_t changes() const { return m_Changes; }
+
   /// \brief The relays for one message to the whole fleet.
   std::vector<std::string> drawRelays();
 
@@ -142,6 +148,7 @@
   void addQueries(std::vector<DueHello> &Due);
   void learnLocal(const VmGroup &Named, TimePoint Now, std::vector<std::string> &Added);
   void learnRemote(const VmGroup &Named, TimePoint Now);
+  RemoteGroup &remoteGroup(const std::string &DataCenter);
   static void trimGroup(RemoteGroup &Group);
   /// At most Count VMs of a group, in order of their last message, the most recent first.
   static std::vector<std::string> mostRecent(const RemoteGroup &Group, std::size_t Count);
@@ -151,6 +158,7 @@
   std::mt19937_64 m_Random;
   std::map<std::string, LocalVm, std::less<>> m_Local;
   std::map<std::string, RemoteGroup, std::less<>> m_Remote;
+  std::uint64_t m_Changes = 0;
   /// When dueHellos() last returned hellos, and when for the first time.
   std::optional<TimePoint> m_LastHello;
   TimePoint m_FirstHello{};
--- a/include/vanillahill/kernel/decision.hpp
+++ b/include/vanillahill/kernel/decision.hpp
@@ -72,6 +72,8 @@
   Duration m_TimeLeft{};
   /// Requests per second that the server takes from all VMs together, infinite without a limit.
   std::optional<double> m_RequestLimit = std::nullopt;
+  /// Requests per second of these that this VM may send.
+  std::optional<double> m_LimitShare = std::nullopt;
   /// How an attempt ended, why the request was refused, or where a statement of the server stood.
   std::string_view m_Outcome = {};
   /// Status code of a server's reply; 0 if there is none.
--- a/include/vanillahill/kernel/dispatcher_base.hpp
+++ b/include/vanillahill/kernel/dispatcher_base.hpp
@@ -35,6 +35,7 @@
   std::mt19937_64 m_Random;
   AskBudget m_Asks;
   std::uint64_t m_NextAttempt = 1;
+  FleetView m_Fleet;
 };
 
 /// Decides for the requests of one service: which server gets them, and when to wait, refuse, retry
@@ -67,6 +68,12 @@
   /// \brief Handles a peer's report that a server is failing or leaving. Ignored for an unknown
   /// server.
   virtual void peerMark(ServerId Server, bool Leaving, TimePoint Now) = 0;
+  /// \brief Handles another VM's announcement of a server's limit. Ignored for an unknown server,
+  /// and by policy sets whose servers name no limits.
+  virtual void limitAnnounced(const ServerLimitReceived & /*Announced*/, TimePoint /*Now*/,
+                              Actions & /*Out*/) {}
+  /// \brief Handles a change of DispatcherContext::m_Fleet.
+  virtual void fleetChanged(TimePoint /*Now*/) {}
   /// \brief Carries out the actions that are due.
   virtual void tick(TimePoint Now, Actions &Out) = 0;
 
--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -6,6 +6,7 @@
 #include "vanillahill/core/ids.hpp"
 #include "vanillahill/core/time.hpp"
 #include "vanillahill/kernel/decision.hpp"
+#include "vanillahill/kernel/fleet_view.hpp"
 #include "vanillahill/peer/message.hpp"
 #include "vanillahill/settings/settings.hpp"
 
@@ -46,6 +47,9 @@
   NoServer,
   /// Every server that could be used has asked for a pause.
   ServersPaused,
+  /// Every server that could be used takes a limited number of requests, and this VM's part of them
+  /// is used up.
+  ServersLimited,
   /// Every allowed attempt was refused before it started.
   AttemptsRefused,
   /// The retry budget is used up.
@@ -196,6 +200,20 @@
   ServerId m_Server{};
 };
 
+/// Another VM announced the limit that a backend server named in a reply.
+struct ServerLimitReceived {
+  ServerId m_Server{};
+  /// Requests per second, or NoRequestLimit.
+  double m_PerSecond = NoRequestLimit;
+  /// Time since that VM sent the request to which the server replied.
+  Duration m_Age{};
+};
+
+/// VMs have joined the fleet or left it.
+struct FleetChanged {
+  FleetView m_Fleet;
+};
+
 /// The process was told to stop.
 struct StopRequested {};
 
@@ -209,7 +227,8 @@
 
 using Event =
     std::variant<RequestArrived, CallerGone, AttemptEnded, ProbeEnded, PeerReceived, VmListRead,
-                 LogRead, SettingsRead, ServerFailureHeard, StopRequested, StopOverdue, TimerFired>;
+                 LogRead, SettingsRead, ServerFailureHeard, ServerLimitReceived, FleetChanged,
+                 StopRequested, StopOverdue, TimerFired>;
 
 /// Send the request to a backend server.
 struct Dispatch {
@@ -265,6 +284,15 @@
   ServerId m_Server{};
 };
 
+/// Announce to the other VMs the limit that a backend server named in a reply.
+struct AnnounceServerLimit {
+  ServerId m_Server{};
+  /// Requests per second, or NoRequestLimit.
+  double m_PerSecond = NoRequestLimit;
+  /// Time since the request was sent to which the server replied.
+  Duration m_Age{};
+};
+
 /// The linger time after StopRequested is over: new requests are no longer accepted. Idle
 /// connections are closed; otherwise a caller could send a request on one that cannot end in time.
 struct StopAccepting {};
@@ -272,9 +300,9 @@
 /// Nothing is in flight any more after StopAccepting: the process may exit.
 struct Stopped {};
 
-using Action =
-    std::variant<Dispatch, CancelAttempt, Answer, SendPeer, ConnectPeers, AppendLog, Probe,
-                 SettingsChanged, TellServerFailure, Decision, StopAccepting, Stopped>;
+using Action = std::variant<Dispatch, CancelAttempt, Answer, SendPeer, ConnectPeers, AppendLog,
+                            Probe, SettingsChanged, TellServerFailure, AnnounceServerLimit,
+                            Decision, StopAccepting, Stopped>;
 using Actions = std::vector<Action>;
 
 } // namespace vanillahill::kernel
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -4,6 +4,7 @@
 
 #include "vanillahill/kernel/dispatcher_base.hpp"
 #include "vanillahill/kernel/kind_table.hpp"
+#include "vanillahill/kernel/probed/limit_share.hpp"
 #include "vanillahill/kernel/probed/placement.hpp"
 #include "vanillahill/kernel/probed/probe_budget.hpp"
 #include "vanillahill/kernel/probed/request.hpp"
@@ -30,6 +31,8 @@
                    Actions & /*Out*/) override {}
   void peerHint(VmId /*From*/, const peer::ServiceHint & /*Hint*/, TimePoint /*Now*/) override {}
   void peerMark(ServerId Server, bool Leaving, TimePoint Now) override;
+  void limitAnnounced(const ServerLimitReceived &Announced, TimePoint Now, Actions &Out) override;
+  void fleetChanged(TimePoint Now) override;
   void tick(TimePoint Now, Actions &Out) override;
 
   TimePoint nextTimer(TimePoint Now) const override;
@@ -41,17 +44,18 @@
   std::size_t unfinished() const override { return m_Requests.size() + m_Attempts.size(); }
 
 private:
-  void assignBackends();
+  void assignBackends(TimePoint Now);
   void assignKinds();
   BackendView *findBackend(ServerId Server);
   SearchCriteria criteriaOf(const Request &Pending, TimePoint Now) const;
   Fitness &fitnessOf(ServerId Server);
   void recordPause(ServerId Server, Duration Length, std::string_view Source, Duration Age,
                    TimePoint Now, Actions &Out);
-  void recordLimit(ServerId Server, double PerSecond, std::string_view Source, TimePoint SentAt,
+  void recordLimit(ServerId Server, const LimitStatement &Stated, std::string_view Source,
                    TimePoint Now, Actions &Out);
+  void updateLimitShare(BackendView &Backend, TimePoint Now);
   static void noticePauseEnd(BackendView &Backend, TimePoint Now, Actions &Out);
-  Duration timeUntilResumed(TimePoint PauseEnd, TimePoint Now);
+  Duration timeUntilResumed(TimePoint UsableAt, TimePoint Now);
   void recordLeaving(ServerId Server, std::string_view Source, Duration Age, TimePoint Now,
                      Actions &Out);
 
--- a/include/vanillahill/kernel/probed/fitness.hpp
+++ b/include/vanillahill/kernel/probed/fitness.hpp
@@ -95,12 +95,12 @@
   const RequestLimit &limit() const { return m_Limit; }
 
   /// \brief Whether there is anything to remember.
-  bool isEmpty() const { return !m_LeavingSince && m_Pauses == 0 && !m_Limit.isInForce(); }
+  bool isEmpty() const { return !m_LeavingSince && m_Pauses == 0 && !m_Limit.isKnown(); }
 
   /// \brief The latest time that a statement names; TimePoint::min() without one.
   TimePoint statedAt() const {
     return std::max({m_LeavingSince.value_or(TimePoint::min()), m_PausedUntil,
-                     m_Limit.isInForce() ? m_Limit.statedAt() : TimePoint::min()});
+                     m_Limit.isKnown() ? m_Limit.statedAt() : TimePoint::min()});
   }
 
 private:
--- a/include/vanillahill/kernel/probed/placement.hpp
+++ b/include/vanillahill/kernel/probed/placement.hpp
@@ -130,9 +130,16 @@
 bool hasUsableBackend(std::span<const BackendView> Backends, const SearchCriteria &Criteria,
                       TimePoint Now);
 
-/// \brief When the first of the paused servers may be used by a request that arrives anew.
-/// \return nothing when a server may be used now, or when none is paused
-std::optional<TimePoint> firstPauseEnd(std::span<const BackendView> Backends,
-                                       const SearchCriteria &Criteria, TimePoint Now);
+/// When a server may be used again, and why it may not be used before.
+struct Resumption {
+  TimePoint m_At{};
+  Reason m_Reason = Reason::None;
+};
+
+/// \brief When the first of the paused or limited servers may be used by a request that arrives
+/// anew.
+/// \return nothing when a server may be used now, or when none is paused or limited
+std::optional<Resumption> firstResumption(std::span<const BackendView> Backends,
+                                          const SearchCriteria &Criteria, TimePoint Now);
 
 } // namespace vanillahill::kernel::probed
--- a/include/vanillahill/kernel/probed/request_limit.hpp
+++ b/include/vanillahill/kernel/probed/request_limit.hpp
@@ -1,45 +1,155 @@
 /// \file
 /// The number of requests per second that a backend server takes from all VMs together, as far as
-/// this VM knows.
+/// this VM knows, and this VM's part of it.
 #pragma once
 
 #include "vanillahill/kernel/events.hpp"
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace vanillahill::kernel::probed {
 
-/// The limit that one incarnation of a backend server has named.
+/// What a server says about its limit, in a reply to this VM or to another one.
+struct LimitStatement {
+  /// Requests per second, or NoRequestLimit.
+  double m_PerSecond = NoRequestLimit;
+  /// When the request to which the server replied was sent.
+  TimePoint m_SentAt{};
+};
+
+/// What a statement did to the known limit.
+enum class LimitChange : std::uint8_t {
+  /// A later statement is known.
+  Outdated,
+  Confirmed,
+  Changed,
+};
+
+/// The limit that one incarnation of a backend server has named. A VM that holds a part of it has a
+/// token bucket with room for one request; the other VMs send nothing.
 class RequestLimit {
 public:
-  /// \brief Records what a reply said. A lower limit holds at once. A higher one, or none, holds
-  /// only if the request was sent after the last statement was received: replies on several
-  /// connections may overtake each other. \param PerSecond requests per second, or NoRequestLimit
-  /// \param SentAt when the request to which the server replied was sent
-  /// \return whether the limit changed
-  bool record(double PerSecond, TimePoint SentAt, TimePoint Now) {
-    if (PerSecond > m_PerSecond && SentAt < m_StatedAt) {
-      return false;
+  /// A limit that this VM has no part of is forgotten when no VM has confirmed it for this long, or
+  /// up to twice as long. Whether it still holds then shows in the reply to the next request.
+  static constexpr Duration Lifetime = std::chrono::seconds(15);
+  /// When a limit has ended, the VMs without a part of it return within this time.
+  static constexpr Duration ReturnTime = std::chrono::seconds(4);
+  /// Interval in which a limit is announced to the other VMs.
+  static constexpr Duration AnnounceInterval = std::chrono::seconds(4);
+  /// The end of a limit is announced for this long: announcements may be lost.
+  static constexpr Duration EndAnnouncedFor = std::chrono::seconds(10);
+
+  /// \brief Records a statement. A lower limit holds at once. A higher one, or none, holds only if
+  /// the request was sent after the last statement was received: replies on several connections may
+  /// overtake each other.
+  /// \param Delay drawn from 0 to 1: spreads the VMs over Lifetime and ReturnTime
+  LimitChange record(const LimitStatement &Stated, double Delay, TimePoint Now) {
+    if (Stated.m_PerSecond > m_PerSecond && Stated.m_SentAt < m_StatedAt) {
+      return LimitChange::Outdated;
+    }
+    const bool Changes = Stated.m_PerSecond != m_PerSecond;
+    const bool Ends = Changes && !std::isfinite(Stated.m_PerSecond);
+    if (Ends) {
+      m_EndedAt = Now;
+      m_ReturnsAt = m_Share > 0.0 ? Now : Now + scaled(ReturnTime, Delay);
+      m_Share = 0.0;
     }
-    const bool Changes = PerSecond != m_PerSecond;
-    m_PerSecond = PerSecond;
+    m_PerSecond = Stated.m_PerSecond;
     m_StatedAt = std::max(m_StatedAt, Now);
-    return Changes;
+    m_ExpiresAt = Now + Lifetime + scaled(Lifetime, Delay);
+    return Changes ? LimitChange::Changed : LimitChange::Confirmed;
   }
 
-  /// \brief Whether the server has named a limit that holds.
-  bool isInForce() const { return std::isfinite(m_PerSecond); }
+  /// \brief Whether the server has named a limit and not ended it.
+  bool isKnown() const { return std::isfinite(m_PerSecond); }
+
+  /// \brief Whether statements are of interest: a limit is known, or has ended a moment ago.
+  bool isWatched(TimePoint Now) const {
+    return isKnown() || (m_EndedAt && Now - *m_EndedAt < EndAnnouncedFor);
+  }
 
   /// \brief Requests per second, or NoRequestLimit.
   double perSecond() const { return m_PerSecond; }
 
+  /// \brief Requests per second that this VM may send; zero when other VMs hold the limit.
+  double share() const { return m_Share; }
+
+  /// \brief Sets this VM's part of the limit.
+  /// \param PerSecond requests per second; zero when other VMs hold the limit
+  /// \param From when it may be used first, if this VM had no part before
+  void setShare(double PerSecond, TimePoint From, TimePoint Now) {
+    const bool IsNew = m_Share == 0.0;
+    m_Tokens = IsNew ? 0.0 : tokens(Now);
+    m_CountedAt = IsNew ? std::max(From, Now) : std::max(m_CountedAt, Now);
+    m_Share = PerSecond;
+  }
+
+  /// \brief Whether a request may be sent to the server.
+  bool allowsRequest(TimePoint Now) const {
+    if (!isKnown()) {
+      return Now >= m_ReturnsAt;
+    }
+    return m_Share > 0.0 ? tokens(Now) >= 1.0 : Now >= m_ExpiresAt;
+  }
+
+  /// \brief When allowsRequest() changes to true.
+  /// \return nothing when other VMs hold the limit
+  std::optional<TimePoint> nextRequestAt(TimePoint Now) const {
+    if (!isKnown()) {
+      return std::max(Now, m_ReturnsAt);
+    }
+    if (m_Share == 0.0) {
+      return std::nullopt;
+    }
+    const double Missing = std::max(1.0 - tokens(Now), 0.0);
+    const std::chrono::duration<double> Wait(Missing / m_Share);
+    return std::max(Now, m_CountedAt) + std::chrono::duration_cast<Duration>(Wait);
+  }
+
+  /// \brief Counts a request that is sent to the server.
+  void countRequest(TimePoint Now) {
+    if (isKnown() && m_Share > 0.0) {
+      m_Tokens = std::max(tokens(Now) - 1.0, 0.0);
+      m_CountedAt = std::max(m_CountedAt, Now);
+    }
+  }
+
+  /// \brief Whether to announce the last statement to the other VMs; counts it as announced.
+  bool takeAnnouncement(bool IsChanged, TimePoint Now) {
+    if (!IsChanged && (!isWatched(Now) || Now - m_AnnouncedAt < AnnounceInterval)) {
+      return false;
+    }
+    m_AnnouncedAt = Now;
+    return true;
+  }
+
+  /// \brief Notes that another VM has announced what is known here.
+  void noteAnnounced(TimePoint Now) { m_AnnouncedAt = Now; }
+
   /// \brief When the last statement was received; TimePoint::min() without one.
   TimePoint statedAt() const { return m_StatedAt; }
 
 private:
+  static Duration scaled(Duration Length, double Factor) {
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Length) * Factor);
+  }
+
+  double tokens(TimePoint Now) const {
+    const std::chrono::duration<double> Passed = std::max(Now - m_CountedAt, Duration::zero());
+    return std::min(m_Tokens + Passed.count() * m_Share, 1.0);
+  }
+
   double m_PerSecond = NoRequestLimit;
   TimePoint m_StatedAt = TimePoint::min();
+  TimePoint m_ExpiresAt = TimePoint::min();
+  std::optional<TimePoint> m_EndedAt;
+  TimePoint m_ReturnsAt = TimePoint::min();
+  double m_Share = 0.0;
+  double m_Tokens = 0.0;
+  TimePoint m_CountedAt{};
+  TimePoint m_AnnouncedAt{};
 };
 
 } // namespace vanillahill::kernel::probed
--- a/include/vanillahill/net/detail/backend_pool.hpp
+++ b/include/vanillahill/net/detail/backend_pool.hpp
@@ -79,6 +79,8 @@
     bool m_IsListed = true;
     /// Idle connections are closed, so that the server can stop.
     bool m_IsLeaving = false;
+    /// Requests per second that the server last named as its limit.
+    double m_RequestLimit = kernel::NoRequestLimit;
     std::vector<BackendConnectionPtr> m_Idle;
     /// Exchange ids in the order in which they get connections.
     std::deque<std::uint64_t> m_Waiting;
@@ -112,6 +114,7 @@
   void onReleased(const BackendConnectionPtr &Connection);
   void onClosed(const BackendConnectionPtr &Connection, bool WasConnecting);
   void finishExchange(std::uint64_t Id, ExchangeEnd End);
+  bool noteRequestLimit(ServerId Target, std::optional<double> Named);
   std::vector<std::uint64_t> takeWaitingRequests(ServerId Target);
   void endUnsent(std::span<const std::uint64_t> Ids);
 
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -10,6 +10,7 @@
 #include "vanillahill/fleet/news.hpp"
 #include "vanillahill/fleet/peers.hpp"
 #include "vanillahill/fleet/snapshot_fetcher.hpp"
+#include "vanillahill/kernel/events.hpp"
 #include "vanillahill/net/detail/datagrams.hpp"
 
 #include <optional>
@@ -63,6 +64,10 @@
   std::function<void(std::shared_ptr<const SiteSettings>)> m_OnSettings;
   /// Called when another VM announced the failure of a backend server.
   std::function<void(ServerId)> m_OnServerFailed;
+  /// Called when another VM announced the limit of a backend server.
+  std::function<void(const kernel::ServerLimitReceived &)> m_OnServerLimit;
+  /// Called when VMs have joined the fleet or left it.
+  std::function<void(kernel::FleetView)> m_OnFleetChanged;
   /// Fetches the snapshot of the VM with the given IP.
   std::function<void(const std::string &Ip, const fleet::SnapshotRequest &Wanted,
                      SnapshotDone Done)>
@@ -84,6 +89,9 @@
   /// \brief Announces to the local VMs that a backend server failed for this VM.
   void tellServerFailed(ServerId Server);
 
+  /// \brief Announces to all other VMs the limit that a backend server named.
+  void announceServerLimit(const kernel::AnnounceServerLimit &Named);
+
   /// \brief The contents of the store as this VM knows them, for another VM.
   /// \return a frame with a fleet::Snapshot, empty when this VM does not know the wanted records
   std::string snapshotFrame(const fleet::SnapshotRequest &Wanted);
@@ -123,6 +131,7 @@
   void handleMessage(std::string_view Ip, const fleet::PeerList &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::ServerFailed &Message, TimePoint Now);
+  void handleMessage(std::string_view Ip, const fleet::ServerLimited &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::Piece &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::Snapshot &Message, TimePoint Now);
   void relay(fleet::StoreNews Message, TimePoint AskedAt, TimePoint Now);
@@ -139,6 +148,7 @@
 
   fleet::VmInfo selfInfo() const;
   void logFleetSize();
+  void publishFleet();
   void sendDueHellos();
   void sendHello(const std::string &Ip, bool AsksForPeers);
   void send(std::span<const std::string> Ips, const fleet::News &Message);
@@ -173,6 +183,8 @@
   std::optional<TimePoint> m_DecideFirstReadsAt;
   /// Fleet size for which the settings in force were computed.
   std::size_t m_SettingsFleetSize = 1;
+  /// Peers::changes() when the fleet was last published.
+  std::uint64_t m_PublishedFleet = 0;
   /// Fleet size in the last log line about it.
   std::size_t m_LoggedFleetSize = 1;
   fleet::FailureThrottle m_FailureThrottle;
--- a/src/fleet/news.cpp
+++ b/src/fleet/news.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <span>
 
 namespace vanillahill::fleet {
@@ -146,6 +147,12 @@
 
 Json encodeBody(const ServerFailed &Message) { return Json::array({raw(Message.m_Server)}); }
 
+Json encodeBody(const ServerLimited &Message) {
+  return Json::array({raw(Message.m_Server),
+                      Message.m_PerSecond ? Json(*Message.m_PerSecond) : Json(nullptr),
+                      toMicros(Message.m_Age), Message.m_IsForRelay});
+}
+
 Json encodeBody(const Piece &Message) {
   return Json::array(
       {Message.m_MessageNumber, Message.m_Index, Message.m_Count, encodeBytes(Message.m_Bytes)});
@@ -179,6 +186,20 @@
   return Message;
 }
 
+ServerLimited decodeServerLimited(const Json &Fields) {
+  ServerLimited Message{.m_Server = ServerId{Fields.at(0).get<std::uint32_t>()},
+                        .m_Age = decodeAge(Fields.at(2)),
+                        .m_IsForRelay = Fields.at(3).get<bool>()};
+  if (!Fields.at(1).is_null()) {
+    Message.m_PerSecond = Fields.at(1).get<double>();
+    if (!std::isfinite(*Message.m_PerSecond) || *Message.m_PerSecond < 0.0) {
+      throw std::invalid_argument("limit of " + std::to_string(*Message.m_PerSecond) +
+                                  " requests per second");
+    }
+  }
+  return Message;
+}
+
 PeerList decodePeerList(const Json &Fields) {
   PeerList Message{.m_Sender = decodeInfo(Fields.at(0))};
   for (const Json &Group : Fields.at(1)) {
@@ -211,6 +232,8 @@
                     .m_ServersPosition = decodePosition(Fields.at(3)),
                     .m_ServersAge = decodeAge(Fields.at(4)),
                     .m_Servers = decodeRecords(Fields.at(5))};
+  case 6:
+    return decodeServerLimited(Fields);
   default:
     throw std::invalid_argument("unknown type " + std::to_string(Type));
   }
--- a/src/fleet/peers.cpp
+++ b/src/fleet/peers.cpp
@@ -9,12 +9,15 @@
     return false;
   }
   if (Sender.m_DataCenter == m_Options.m_DataCenter) {
-    return m_Local
-        .insert_or_assign(std::string(Ip),
-                          LocalVm{.m_LastHeard = Now, .m_HasCatalog = Sender.m_HasCatalog})
-        .second;
+    const bool IsAdded =
+        m_Local
+            .insert_or_assign(std::string(Ip),
+                              LocalVm{.m_LastHeard = Now, .m_HasCatalog = Sender.m_HasCatalog})
+            .second;
+    m_Changes += IsAdded ? 1 : 0;
+    return IsAdded;
   }
-  RemoteGroup &Group = m_Remote[Sender.m_DataCenter];
+  RemoteGroup &Group = remoteGroup(Sender.m_DataCenter);
   Group.m_Vms = Sender.m_LocalVms;
   Group.m_CountedAt = Now;
   const bool IsNew = Group.m_LastHeard.insert_or_assign(std::string(Ip), Now).second;
@@ -22,6 +25,12 @@
   return IsNew;
 }
 
+Peers::RemoteGroup &Peers::remoteGroup(const std::string &DataCenter) {
+  const auto [Known, IsNew] = m_Remote.try_emplace(DataCenter);
+  m_Changes += IsNew ? 1 : 0;
+  return Known->second;
+}
+
 void Peers::refresh(std::string_view Ip, TimePoint Now) {
   if (const auto Known = m_Local.find(Ip); Known != m_Local.end()) {
     Known->second.m_LastHeard = Now;
@@ -57,10 +66,11 @@
       Added.push_back(Vm.m_Ip);
     }
   }
+  m_Changes += Added.empty() ? 0 : 1;
 }
 
 void Peers::learnRemote(const VmGroup &Named, TimePoint Now) {
-  RemoteGroup &Group = m_Remote[Named.m_DataCenter];
+  RemoteGroup &Group = remoteGroup(Named.m_DataCenter);
   for (const ListedVm &Vm : Named.m_Listed) {
     const TimePoint NamedAt = Now - Vm.m_Silence;
     TimePoint &LastHeard = Group.m_LastHeard.try_emplace(Vm.m_Ip).first->second;
@@ -94,13 +104,15 @@
 
 void Peers::forgetSilent(TimePoint Now) {
   const Duration LocalLifetime = helloPeriod() * MaxSilentPeriods;
-  std::erase_if(m_Local,
-                [=](const auto &Known) { return Now - Known.second.m_LastHeard > LocalLifetime; });
+  const std::size_t Gone = std::erase_if(
+      m_Local, [=](const auto &Known) { return Now - Known.second.m_LastHeard > LocalLifetime; });
   for (auto &[DataCenter, Group] : m_Remote) {
     std::erase_if(Group.m_LastHeard,
                   [Now](const auto &Known) { return Now - Known.second > RemoteLifetime; });
   }
-  std::erase_if(m_Remote, [](const auto &Known) { return Known.second.m_LastHeard.empty(); });
+  const std::size_t Emptied =
+      std::erase_if(m_Remote, [](const auto &Known) { return Known.second.m_LastHeard.empty(); });
+  m_Changes += Gone + Emptied;
 }
 
 void Peers::addHellosToGroups(std::vector<DueHello> &Due) {
@@ -176,6 +188,15 @@
   return Ips;
 }
 
+std::vector<std::string> Peers::remoteDataCenters() const {
+  std::vector<std::string> Names;
+  Names.reserve(m_Remote.size());
+  for (const auto &[DataCenter, Group] : m_Remote) {
+    Names.push_back(DataCenter);
+  }
+  return Names;
+}
+
 std::vector<std::string> Peers::drawLocal(std::size_t Count) {
   const std::vector<std::string> Known = local();
   std::vector<std::string> Drawn;
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -53,6 +53,9 @@
     m_Context.m_Self = idOf<VmId>(m_Options.m_Name);
     m_Context.m_DataCenter = m_Options.m_DataCenter;
     m_Context.m_Gate = this;
+    m_Context.m_Fleet = {.m_Self = m_Context.m_Self,
+                         .m_DataCenter = m_Options.m_DataCenter,
+                         .m_Local = {m_Context.m_Self}};
     m_Context.m_Random.seed(m_Options.m_Seed);
   }
 
@@ -338,6 +341,23 @@
     }
   }
 
+  void onEvent(const ServerLimitReceived &Input, TimePoint Now, Actions &Out) {
+    if (m_EndsRequests) {
+      return;
+    }
+    for (auto &[Id, Dispatcher] : m_Dispatchers) {
+      Dispatcher->limitAnnounced(Input, Now, Out);
+    }
+  }
+
+  void onEvent(const FleetChanged &Input, TimePoint Now, Actions & /*Out*/) {
+    m_Context.m_Fleet = Input.m_Fleet;
+    m_Context.m_Fleet.m_ChangedAt = Now;
+    for (auto &[Id, Dispatcher] : m_Dispatchers) {
+      Dispatcher->fleetChanged(Now);
+    }
+  }
+
   void onEvent(const StopRequested & /*Input*/, TimePoint Now, Actions &Out) {
     if (!m_AcceptUntil) {
       m_AcceptUntil = Now + m_Options.m_DrainLinger;
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -43,13 +43,13 @@
 
 void Dispatcher::configure(const ServiceSettings &Settings, TimePoint Now) {
   m_Settings = Settings;
-  assignBackends();
+  assignBackends(Now);
   assignKinds();
   m_RetryBudget.configure(m_Settings.m_Policy.m_RetryRatio, m_Settings.m_Policy.m_RetryWindow);
   m_ProbeBudget.configure(m_Settings.m_Policy.m_ProbesPerSecond, Now);
 }
 
-void Dispatcher::assignBackends() {
+void Dispatcher::assignBackends(TimePoint Now) {
   std::vector<BackendView> Next;
   Next.reserve(m_Settings.m_Servers.size());
   for (const ServerSettings &Server : m_Settings.m_Servers) {
@@ -64,6 +64,9 @@
     }
     View.m_Settings = Server;
     View.m_IsLocal = Server.m_DataCenter == m_Context.m_DataCenter;
+    if (Known == nullptr) {
+      updateLimitShare(View, Now);
+    }
     Next.push_back(std::move(View));
   }
   m_Backends.swap(Next);
@@ -328,6 +331,7 @@
   Entry.m_Asked = m_LastSampled;
   Out.push_back(std::move(Entry));
   Backend.countSentRequest();
+  Backend.m_Fitness.limit().countRequest(Now);
   m_Attempts.emplace(Sent.m_Id, Sent);
   Pending.m_Running.push_back(Sent.m_Id);
   Pending.m_Tried.push_back(Sent.m_Server);
@@ -422,7 +426,8 @@
     recordPause(Sent.m_Server, Ended.m_PauseFor, "request", Now - Sent.m_Started, Now, Out);
   }
   if (Ended.m_RequestLimit) {
-    recordLimit(Sent.m_Server, *Ended.m_RequestLimit, "request", Sent.m_Started, Now, Out);
+    recordLimit(Sent.m_Server, {.m_PerSecond = *Ended.m_RequestLimit, .m_SentAt = Sent.m_Started},
+                "request", Now, Out);
   }
   updateBackend(Sent, Ended, Now, Out);
   if (Sent.m_IsAdditional && Ended.m_Result == AttemptResult::NotSent) {
@@ -478,8 +483,8 @@
     addFailure(*Backend, Ended.m_WrongServer ? SetAsideScore : RefusedRequestWeight, Now, Out);
     return;
   case AttemptResult::NotSent:
-    // During a pause, requests that wait for a connection are not sent.
-    if (!Backend->m_Fitness.isPaused(Now)) {
+    // During a pause, or when a limit falls, requests that wait for a connection are not sent.
+    if (!Backend->m_Fitness.isPaused(Now) && !Backend->m_Fitness.limit().isKnown()) {
       addFailure(*Backend, 1.0, Now, Out);
     }
     return;
@@ -580,8 +585,8 @@
     return;
   }
   if (!Pending.m_MayHaveRun) {
-    if (const auto End = firstPauseEnd(m_Backends, criteriaOf(Pending, Now), Now)) {
-      refuseRequest(Pending, Reason::ServersPaused, timeUntilResumed(*End, Now), Now, Out);
+    if (const auto Resumed = firstResumption(m_Backends, criteriaOf(Pending, Now), Now)) {
+      refuseRequest(Pending, Resumed->m_Reason, timeUntilResumed(Resumed->m_At, Now), Now, Out);
       return;
     }
   }
@@ -608,7 +613,8 @@
     recordPause(Ended.m_Server, Ended.m_PauseFor, "probe", Age, Now, Out);
   }
   if (Ended.m_RequestLimit) {
-    recordLimit(Ended.m_Server, *Ended.m_RequestLimit, "probe", Now - Age, Now, Out);
+    recordLimit(Ended.m_Server, {.m_PerSecond = *Ended.m_RequestLimit, .m_SentAt = Now - Age},
+                "probe", Now, Out);
   }
   if (Backend == nullptr) {
     return;
--- a/src/kernel/probed/dispatcher_report.cpp
+++ b/src/kernel/probed/dispatcher_report.cpp
@@ -2,6 +2,13 @@
 
 namespace vanillahill::kernel::probed {
 
+namespace {
+
+/// Source of a limit that another VM announced.
+constexpr std::string_view LimitAnnouncement = "vm";
+
+} // namespace
+
 void Dispatcher::appendAttemptEnd(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now,
                                   Actions &Out) {
   Decision Entry{.m_Type = DecisionType::AttemptEnded,
@@ -67,28 +74,66 @@
   Out.push_back(std::move(Entry));
 }
 
-/// \param PerSecond requests per second, or NoRequestLimit
-/// \param Source what the server replied to
-/// \param SentAt when that was sent
-void Dispatcher::recordLimit(ServerId Server, double PerSecond, std::string_view Source,
-                             TimePoint SentAt, TimePoint Now, Actions &Out) {
+/// \param Source what the server replied to, or "vm" for an announcement of another VM
+void Dispatcher::recordLimit(ServerId Server, const LimitStatement &Stated, std::string_view Source,
+                             TimePoint Now, Actions &Out) {
   BackendView *Backend = findBackend(Server);
-  if (Backend == nullptr && !std::isfinite(PerSecond)) {
+  if (Backend == nullptr && !std::isfinite(Stated.m_PerSecond)) {
     return;
   }
-  if (!fitnessOf(Server).limit().record(PerSecond, SentAt, Now)) {
+  RequestLimit &Limit = fitnessOf(Server).limit();
+  if (!std::isfinite(Stated.m_PerSecond) && !Limit.isWatched(Now)) {
+    return;
+  }
+  std::uniform_real_distribution<double> Delay(0.0, 1.0);
+  const LimitChange Change = Limit.record(Stated, Delay(m_Context.m_Random), Now);
+  if (Change == LimitChange::Outdated) {
+    return;
+  }
+  const bool IsChanged = Change == LimitChange::Changed;
+  if (Source == LimitAnnouncement) {
+    Limit.noteAnnounced(Now);
+  } else if (Limit.takeAnnouncement(IsChanged, Now)) {
+    Out.push_back(AnnounceServerLimit{
+        .m_Server = Server, .m_PerSecond = Stated.m_PerSecond, .m_Age = Now - Stated.m_SentAt});
+  }
+  if (!IsChanged) {
     return;
   }
   Decision Entry{.m_Type = DecisionType::ServerLimitChanged,
-                 .m_Took = Now - SentAt,
-                 .m_RequestLimit = PerSecond,
+                 .m_Took = Now - Stated.m_SentAt,
+                 .m_RequestLimit = Stated.m_PerSecond,
                  .m_Outcome = Source};
   if (Backend != nullptr) {
+    updateLimitShare(*Backend, Now);
+    Entry.m_LimitShare = Limit.share();
     addBackendState(Entry, *Backend, Now);
   }
   Out.push_back(std::move(Entry));
 }
 
+void Dispatcher::updateLimitShare(BackendView &Backend, TimePoint Now) {
+  RequestLimit &Limit = Backend.m_Fitness.limit();
+  if (Limit.isKnown()) {
+    Limit.setShare(limitShare(m_Context.m_Fleet, Backend.m_Settings, Limit.perSecond()),
+                   m_Context.m_Fleet.m_ChangedAt + TakeOverDelay, Now);
+  }
+}
+
+void Dispatcher::limitAnnounced(const ServerLimitReceived &Announced, TimePoint Now, Actions &Out) {
+  if (findBackend(Announced.m_Server) != nullptr) {
+    recordLimit(Announced.m_Server,
+                {.m_PerSecond = Announced.m_PerSecond, .m_SentAt = Now - Announced.m_Age},
+                LimitAnnouncement, Now, Out);
+  }
+}
+
+void Dispatcher::fleetChanged(TimePoint Now) {
+  for (BackendView &Backend : m_Backends) {
+    updateLimitShare(Backend, Now);
+  }
+}
+
 void Dispatcher::noticePauseEnd(BackendView &Backend, TimePoint Now, Actions &Out) {
   const auto Age = Backend.m_Fitness.noticePauseEnd(Now);
   if (!Age) {
@@ -99,15 +144,15 @@
   Out.push_back(std::move(Entry));
 }
 
-/// Retry-After of a request that is refused because the servers are paused. The callers are spread
-/// over the time in which the first server takes more and more requests again.
-Duration Dispatcher::timeUntilResumed(TimePoint PauseEnd, TimePoint Now) {
-  // New servers may start before the pauses end.
+/// Retry-After of a request that is refused because the servers are paused or limited. The callers
+/// are spread over the time in which the first server takes more and more requests again.
+Duration Dispatcher::timeUntilResumed(TimePoint UsableAt, TimePoint Now) {
+  // New servers may start before that.
   constexpr Duration LongestWait = std::chrono::seconds(10);
   constexpr Duration ShortestSpread = std::chrono::milliseconds(100);
   std::uniform_int_distribution<Duration::rep> Spread(ShortestSpread.count(),
                                                       PauseRecoveryTime.count());
-  return std::min<Duration>(PauseEnd - Now, LongestWait) + Duration(Spread(m_Context.m_Random));
+  return std::min<Duration>(UsableAt - Now, LongestWait) + Duration(Spread(m_Context.m_Random));
 }
 
 void Dispatcher::appendMarks(TimePoint Now, std::vector<ServerId> &Avoid,
@@ -133,7 +178,7 @@
          .m_PauseLeft =
              Backend.m_Fitness.isPaused(Now) ? Backend.m_Fitness.pausedUntil() - Now : Duration{},
          .m_Pauses = Backend.m_Fitness.pauses(),
-         .m_RequestLimit = Limit.isInForce() ? std::optional(Limit.perSecond()) : std::nullopt,
+         .m_RequestLimit = Limit.isKnown() ? std::optional(Limit.perSecond()) : std::nullopt,
          .m_Probes = Backend.m_Probes});
   }
   Status.m_InFlight += m_Attempts.size();
--- a/src/kernel/probed/placement.cpp
+++ b/src/kernel/probed/placement.cpp
@@ -67,7 +67,8 @@
   const Fitness &Stated = Backend.m_Fitness;
   if (Backend.m_Settings.m_Leaving || Stated.isTooLate(Criteria.m_Arrived, Criteria.m_DrainBound) ||
       (Stated.isLeaving() && !Criteria.m_UsesLeaving) ||
-      Backend.m_InFlight >= Stated.maxInFlight(Backend.slots(), Now)) {
+      Backend.m_InFlight >= Stated.maxInFlight(Backend.slots(), Now) ||
+      !Stated.limit().allowsRequest(Now)) {
     return false;
   }
   const auto &Tried = Criteria.m_Tried;
@@ -211,24 +212,41 @@
       [&Criteria, Now](const BackendView &Backend) { return isUsable(Backend, Criteria, Now); });
 }
 
-std::optional<TimePoint> firstPauseEnd(std::span<const BackendView> Backends,
-                                       const SearchCriteria &Criteria, TimePoint Now) {
+/// When a server may be used again that is paused, or limited and not paused.
+/// \return nothing for a server that is neither, or that is leaving by then
+static std::optional<Resumption> resumptionOf(const BackendView &Backend, Duration DrainBound,
+                                              TimePoint Now) {
+  const Fitness &Stated = Backend.m_Fitness;
+  const TimePoint PauseEnd = std::max(Stated.pausedUntil(), Now);
+  const bool WasPaused = Now - PauseRecoveryTime < Stated.pausedUntil();
+  const bool IsLimited = !Stated.limit().allowsRequest(Now);
+  // Another VM may have a part of the limit left, and the caller is likely to reach another one.
+  const TimePoint LimitEnd = IsLimited ? Stated.limit().nextRequestAt(Now).value_or(Now) : Now;
+  const TimePoint End = std::max(PauseEnd, LimitEnd);
+  if ((!WasPaused && !IsLimited) || Backend.m_Settings.m_Leaving ||
+      Stated.isTooLate(End, DrainBound)) {
+    return std::nullopt;
+  }
+  return Resumption{.m_At = End,
+                    .m_Reason = WasPaused ? Reason::ServersPaused : Reason::ServersLimited};
+}
+
+std::optional<Resumption> firstResumption(std::span<const BackendView> Backends,
+                                          const SearchCriteria &Criteria, TimePoint Now) {
   SearchCriteria Anew = Criteria;
   Anew.m_Arrived = Now;
   Anew.m_Tried = {};
-  std::optional<TimePoint> First;
   for (const bool UsesLeaving : {false, true}) {
     Anew.m_UsesLeaving = UsesLeaving;
     if (hasUsableBackend(Backends, Anew, Now)) {
       return std::nullopt;
     }
   }
+  std::optional<Resumption> First;
   for (const BackendView &Backend : Backends) {
-    const TimePoint End = std::max(Backend.m_Fitness.pausedUntil(), Now);
-    const bool WasPaused = Now - PauseRecoveryTime < Backend.m_Fitness.pausedUntil();
-    if (!Backend.m_Settings.m_Leaving && WasPaused &&
-        !Backend.m_Fitness.isTooLate(End, Criteria.m_DrainBound)) {
-      First = std::min(First.value_or(End), End);
+    const auto Each = resumptionOf(Backend, Criteria.m_DrainBound, Now);
+    if (Each && (!First || Each->m_At < First->m_At)) {
+      First = Each;
     }
   }
   return First;
--- a/src/kernel/reasons.cpp
+++ b/src/kernel/reasons.cpp
@@ -14,6 +14,8 @@
     return "no_server";
   case Reason::ServersPaused:
     return "servers_paused";
+  case Reason::ServersLimited:
+    return "servers_limited";
   case Reason::AttemptsRefused:
     return "attempts_refused";
   case Reason::RetryBudget:
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -199,10 +199,11 @@
   updateUsableUntil(*m_Reply);
   auto End = Protocol.m_ReadReply(std::move(*m_Reply), *m_Exchange);
   m_Reply.reset();
-  // A server that asks for a pause does not get what waits for a connection to it. These requests
-  // end after the reply, so that the kernel knows the reason.
+  // A server that asks for a pause, or for fewer requests, does not get what waits for a connection
+  // to it. These requests end after the reply, so that the kernel knows the reason.
   std::vector<std::uint64_t> Unsent;
-  if (End.m_PauseFor > Duration::zero()) {
+  const bool TakesFewer = m_Pool->noteRequestLimit(m_Server, End.m_RequestLimit);
+  if (TakesFewer || End.m_PauseFor > Duration::zero()) {
     Unsent = m_Pool->takeWaitingRequests(m_Server);
   }
   if (!Reuse) {
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -285,6 +285,17 @@
                               .m_WrongServer = End.m_WrongServer});
 }
 
+/// \param Named the limit that a reply of the server named, if it says anything about it
+/// \return whether the server takes fewer requests than before
+bool BackendPool::noteRequestLimit(ServerId Target, std::optional<double> Named) {
+  if (!Named) {
+    return false;
+  }
+  const std::lock_guard Lock(m_Mutex);
+  const double Previous = std::exchange(m_Servers[Target].m_RequestLimit, *Named);
+  return *Named < Previous;
+}
+
 /// Takes the requests that wait for a connection to a server. Probes stay: they end soon.
 std::vector<std::uint64_t> BackendPool::takeWaitingRequests(ServerId Target) {
   const std::lock_guard Lock(m_Mutex);
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -4,6 +4,7 @@
 #include "vanillahill/observe/log.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillahill::net {
 
@@ -103,6 +104,7 @@
   }
   sendDueHellos();
   logFleetSize();
+  publishFleet();
   m_Follower.setFleetSize(m_Peers.fleetSize(), m_Peers.localSize());
   observe::flushLog();
   if (m_Peers.hasSizeChanged(m_SettingsFleetSize)) {
@@ -386,6 +388,7 @@
         handleMessage(Ip, Typed, Now);
       },
       *Message);
+  publishFleet();
 }
 
 void FleetClient::handleMessage(std::string_view Ip, const fleet::Hello &Message, TimePoint Now) {
@@ -475,6 +478,20 @@
   m_Options.m_OnServerFailed(Message.m_Server);
 }
 
+void FleetClient::handleMessage(std::string_view /*Ip*/, const fleet::ServerLimited &Message,
+                                TimePoint /*Now*/) {
+  if (Message.m_IsForRelay) {
+    fleet::ServerLimited Relayed = Message;
+    Relayed.m_IsForRelay = false;
+    send(m_Peers.local(), Relayed);
+  }
+  if (m_Options.m_OnServerLimit) {
+    m_Options.m_OnServerLimit({.m_Server = Message.m_Server,
+                               .m_PerSecond = Message.m_PerSecond.value_or(kernel::NoRequestLimit),
+                               .m_Age = Message.m_Age});
+  }
+}
+
 void FleetClient::handleMessage(std::string_view Ip, const fleet::Piece &Message,
                                 TimePoint /*Now*/) {
   if (const auto Frame = m_Pieces.take(Ip, Message)) {
@@ -625,6 +642,23 @@
                {{"vms", std::to_string(Present)}, {"local", std::to_string(m_Peers.localSize())}});
 }
 
+/// Passes on which VMs share the work, whenever that has changed.
+void FleetClient::publishFleet() {
+  if (m_Peers.changes() == m_PublishedFleet || !m_Options.m_OnFleetChanged) {
+    return;
+  }
+  m_PublishedFleet = m_Peers.changes();
+  const auto Self = idOf<VmId>(m_Options.m_Peers.m_SelfIp);
+  kernel::FleetView Fleet{.m_Self = Self,
+                          .m_DataCenter = m_Options.m_Peers.m_DataCenter,
+                          .m_Local = {Self},
+                          .m_OtherDataCenters = m_Peers.remoteDataCenters()};
+  for (const std::string &Ip : m_Peers.local()) {
+    Fleet.m_Local.push_back(idOf<VmId>(Ip));
+  }
+  m_Options.m_OnFleetChanged(std::move(Fleet));
+}
+
 void FleetClient::sendDueHellos() {
   for (const fleet::DueHello &Due : m_Peers.dueHellos(SystemClock().now())) {
     sendHello(Due.m_Ip, Due.m_AsksForPeers);
@@ -642,6 +676,16 @@
   }
 }
 
+void FleetClient::announceServerLimit(const kernel::AnnounceServerLimit &Named) {
+  fleet::ServerLimited Message{.m_Server = Named.m_Server, .m_Age = Named.m_Age};
+  if (std::isfinite(Named.m_PerSecond)) {
+    Message.m_PerSecond = Named.m_PerSecond;
+  }
+  send(m_Peers.local(), Message);
+  Message.m_IsForRelay = true;
+  send(m_Peers.drawRelays(), Message);
+}
+
 void FleetClient::send(std::span<const std::string> Ips, const fleet::News &Message) {
   const auto Datagrams = fleet::packNews(Message, ++m_LastSplitMessage);
   for (const std::string &Ip : Ips) {
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -53,6 +53,9 @@
                                          ? toTwoDecimals(*Made.m_RequestLimit)
                                          : std::string("none")});
   }
+  if (Made.m_LimitShare) {
+    Fields.push_back({"share_per_s", toTwoDecimals(*Made.m_LimitShare)});
+  }
   if (Made.m_Took > Duration::zero()) {
     Fields.push_back({"took_us", microsText(Made.m_Took)});
   }
--- a/tests/probed_harness.hpp
+++ b/tests/probed_harness.hpp
@@ -113,6 +113,7 @@
       DispatcherContext &Context = m_Contexts.emplace_back();
       Context.m_Self = VmId{static_cast<std::uint32_t>(Vm)};
       Context.m_DataCenter = "dc";
+      Context.m_Fleet = fleetOf(Vm, Vms);
       Context.m_Random.seed(20261203 + Vm);
       constexpr std::uint64_t AttemptsPerVm = 1'000'000;
       Context.m_NextAttempt = 1 + Vm * AttemptsPerVm;
@@ -129,6 +130,15 @@
     return ServerId{static_cast<std::uint32_t>(Index + 1)};
   }
 
+  /// The view of a VM that knows all VMs.
+  static FleetView fleetOf(std::size_t Vm, std::size_t Vms) {
+    FleetView Fleet{.m_Self = VmId{static_cast<std::uint32_t>(Vm)}, .m_DataCenter = "dc"};
+    for (std::uint32_t Each = 0; Each < Vms; ++Each) {
+      Fleet.m_Local.push_back(VmId{Each});
+    }
+    return Fleet;
+  }
+
   FakeServer &server(std::size_t Index) { return m_Servers.at(serverId(Index)); }
 
   /// A request arrives at one of the VMs.
@@ -263,6 +273,10 @@
 
   ServiceSettings m_Settings;
   std::map<ServerId, FakeServer> m_Servers;
+  /// Announcements of limits do not arrive.
+  bool m_LosesAnnouncements = false;
+  /// Announcements of limits that were sent.
+  std::size_t m_LimitAnnouncements = 0;
   /// Time that each request has from its arrival.
   Duration m_Deadline = milliseconds(800);
 
@@ -302,6 +316,18 @@
         tellOthers(Vm, [Server = Failed->m_Server](Dispatcher &Other, TimePoint Now) {
           Other.peerMark(Server, false, Now);
         });
+      } else if (const auto *Limited = std::get_if<AnnounceServerLimit>(&Item)) {
+        ++m_LimitAnnouncements;
+        if (m_LosesAnnouncements) {
+          continue;
+        }
+        tellOthers(Vm, [Announced = *Limited](Dispatcher &Other, TimePoint Now) {
+          Actions Ignored;
+          Other.limitAnnounced({.m_Server = Announced.m_Server,
+                                .m_PerSecond = Announced.m_PerSecond,
+                                .m_Age = Announced.m_Age + milliseconds(1)},
+                               Now, Ignored);
+        });
       } else if (const auto *Made = std::get_if<Decision>(&Item)) {
         m_Decisions.push_back(*Made);
       }
--- a/tests/unit-backend-pool.cpp
+++ b/tests/unit-backend-pool.cpp
@@ -276,6 +276,35 @@
   EXPECT_FALSE(m_Inbox.next<kernel::ProbeEnded>().m_Healthy);
 }
 
+/// Two requests for a server with one connection; the second one waits until the first has its
+/// reply.
+class WaitingRequestTest : public PoolTest {
+protected:
+  /// \param Status of the replies, with the headers of the project's own servers
+  void serve(const std::string &Status, const Dialect &Protocol) {
+    m_Server.emplace([this, Status](const BackendRequest &Request) {
+      ++m_Received;
+      m_Go.wait();
+      return "HTTP/1.1 " + Status +
+             "\r\nContent-Length: 0\r\nVH-Exchange: " + std::string(Request["VH-Exchange"]) +
+             "\r\n\r\n";
+    });
+    m_Pool = std::make_shared<BackendPool>(m_Io.io(), "e1", m_Inbox.sink(), m_Metrics,
+                                           BackendPoolOptions{.m_Dialect = &Protocol});
+    auto Site = deskSettings({m_Server->port()});
+    Site.m_Services[0].m_Servers[0].m_MaxConnections = 1;
+    applySettings(Site);
+    dispatch(1);
+    dispatch(2);
+    m_Proceed.set_value();
+  }
+
+  std::atomic<int> m_Received = 0;
+  std::promise<void> m_Proceed;
+  std::shared_future<void> m_Go = m_Proceed.get_future().share();
+  std::optional<Backend> m_Server;
+};
+
 /// Every refusal asks for a pause.
 ExchangeEnd readPausingReply(HttpReply Message, const BackendExchange &Exchange) {
   ExchangeEnd End = readExchangeReply(std::move(Message), Exchange);
@@ -285,34 +314,41 @@
   return End;
 }
 
-TEST_F(PoolTest, ARequestThatWaitsForAConnectionIsNotSentToAServerThatAsksForAPause) {
+TEST_F(WaitingRequestTest, IsNotSentToAServerThatAsksForAPause) {
   static const Dialect Pausing = [] {
     Dialect Changed = ownDialect();
     Changed.m_ReadReply = &readPausingReply;
     return Changed;
   }();
-  std::atomic<int> Received = 0;
-  std::promise<void> Proceed;
-  Backend Server([&Received, Go = Proceed.get_future().share()](const BackendRequest &Request) {
-    ++Received;
-    Go.wait();
-    return "HTTP/1.1 503 Service Unavailable\r\nVH-Not-Run: true\r\nContent-Length: 0\r\n"
-           "VH-Exchange: " +
-           std::string(Request["VH-Exchange"]) + "\r\n\r\n";
-  });
-  m_Pool = std::make_shared<BackendPool>(m_Io.io(), "e1", m_Inbox.sink(), m_Metrics,
-                                         BackendPoolOptions{.m_Dialect = &Pausing});
-  auto Site = deskSettings({Server.port()});
-  Site.m_Services[0].m_Servers[0].m_MaxConnections = 1;
-  applySettings(Site);
-  dispatch(1);
-  dispatch(2);
-  Proceed.set_value();
+  serve("503 Service Unavailable\r\nVH-Not-Run: true", Pausing);
   const AttemptEnded First = awaitAttemptEnded();
   EXPECT_EQ(First.m_Result, AttemptResult::NotRun);
   EXPECT_EQ(First.m_PauseFor, std::chrono::seconds(3));
   EXPECT_EQ(awaitAttemptEnded().m_Result, AttemptResult::NotSent);
-  EXPECT_EQ(Received, 1);
+  EXPECT_EQ(m_Received, 1);
+}
+
+/// Every reply names a limit.
+ExchangeEnd readLimitingReply(HttpReply Message, const BackendExchange &Exchange) {
+  ExchangeEnd End = readExchangeReply(std::move(Message), Exchange);
+  End.m_RequestLimit = 2.0;
+  return End;
+}
+
+TEST_F(WaitingRequestTest, IsNotSentToAServerThatNamesALimit) {
+  static const Dialect Limiting = [] {
+    Dialect Changed = ownDialect();
+    Changed.m_ReadReply = &readLimitingReply;
+    return Changed;
+  }();
+  serve("200 OK", Limiting);
+  EXPECT_EQ(awaitAttemptEnded().m_RequestLimit, 2.0);
+  EXPECT_EQ(awaitAttemptEnded().m_Result, AttemptResult::NotSent);
+  EXPECT_EQ(m_Received, 1);
+  dispatch(3);
+  dispatch(4);
+  EXPECT_EQ(awaitAttemptEnded().m_Result, AttemptResult::Completed);
+  EXPECT_EQ(awaitAttemptEnded().m_Result, AttemptResult::Completed) << "the limit has not fallen";
 }
 
 } // namespace
--- a/tests/unit-fleet-client.cpp
+++ b/tests/unit-fleet-client.cpp
@@ -99,20 +99,26 @@
                        .m_ConfigurationKey = "config"};
     auto Client = std::make_shared<FleetClient>(
         m_Io, std::move(Access), std::move(PeerSocket),
-        FleetClientOptions{.m_Follower = {.m_Bound = Bound},
-                           .m_Peers = {.m_SelfIp = Ip,
-                                       .m_DataCenter = std::move(DataCenter),
-                                       .m_SeedIps = std::move(SeedIps)},
-                           .m_OnSettings = [](const std::shared_ptr<const SiteSettings> &) {},
-                           .m_OnServerFailed = [](ServerId) {},
-                           .m_FetchSnapshot =
-                               [this](const std::string &From, const fleet::SnapshotRequest &Wanted,
-                                      const SnapshotDone &Done) {
-                                 ++m_Fetches;
-                                 std::string Frame = m_Clients.at(From)->snapshotFrame(Wanted);
-                                 asio::post(m_Io,
-                                            [Done, Moved = std::move(Frame)] { Done(Moved); });
-                               }});
+        FleetClientOptions{
+            .m_Follower = {.m_Bound = Bound},
+            .m_Peers = {.m_SelfIp = Ip,
+                        .m_DataCenter = std::move(DataCenter),
+                        .m_SeedIps = std::move(SeedIps)},
+            .m_OnSettings = [](const std::shared_ptr<const SiteSettings> &) {},
+            .m_OnServerFailed = [](ServerId) {},
+            .m_OnServerLimit =
+                [this, Ip](const kernel::ServerLimitReceived &Announced) {
+                  m_Limits[Ip].push_back(Announced);
+                },
+            .m_OnFleetChanged = [this,
+                                 Ip](kernel::FleetView Fleet) { m_Fleets[Ip] = std::move(Fleet); },
+            .m_FetchSnapshot =
+                [this](const std::string &From, const fleet::SnapshotRequest &Wanted,
+                       const SnapshotDone &Done) {
+                  ++m_Fetches;
+                  std::string Frame = m_Clients.at(From)->snapshotFrame(Wanted);
+                  asio::post(m_Io, [Done, Moved = std::move(Frame)] { Done(Moved); });
+                }});
     m_Clients[Ip] = Client;
     Client->start();
     return Client;
@@ -144,6 +150,9 @@
   /// Reads of the servers' stream by each VM.
   std::map<std::string, int> m_ServerReads;
   int m_Fetches = 0;
+  /// Announcements of limits that each VM received, and the VMs that it knows.
+  std::map<std::string, std::vector<kernel::ServerLimitReceived>> m_Limits;
+  std::map<std::string, kernel::FleetView> m_Fleets;
 };
 
 /// A bound after which no test reads the store a second time.
@@ -313,6 +322,34 @@
   EXPECT_EQ(readsOfOthers(), m_ReadsAtStart);
 }
 
+TEST_F(FleetClientTwoDataCenters, EachVmLearnsOfALimitThatOneVmWasTold) {
+  startAll();
+  m_Reader->announceServerLimit(
+      {.m_Server = ServerId{7}, .m_PerSecond = 5.7, .m_Age = milliseconds(80)});
+  runUntil([&] { return m_Limits.size() == m_Others.size(); });
+  EXPECT_FALSE(m_Limits.contains("127.0.0.1"));
+  for (const auto &[Ip, Announced] : m_Limits) {
+    EXPECT_EQ(Announced[0].m_Server, ServerId{7});
+    EXPECT_EQ(Announced[0].m_PerSecond, 5.7);
+    EXPECT_EQ(Announced[0].m_Age, milliseconds(80));
+  }
+  m_Limits.clear();
+  m_Reader->announceServerLimit({.m_Server = ServerId{7}});
+  runUntil([&] { return m_Limits.size() == m_Others.size(); });
+  EXPECT_EQ(m_Limits["127.0.0.4"][0].m_PerSecond, kernel::NoRequestLimit);
+}
+
+TEST_F(FleetClientTwoDataCenters, TheVmsOfADataCenterKnowEachOther) {
+  startAll();
+  const auto Knows = [this](const std::string &Ip, std::size_t Local) {
+    return m_Fleets[Ip].m_Local.size() == Local && m_Fleets[Ip].m_OtherDataCenters.size() == 1;
+  };
+  runUntil([&] { return Knows("127.0.0.1", 2) && Knows("127.0.0.2", 2) && Knows("127.0.0.3", 3); });
+  EXPECT_EQ(m_Fleets["127.0.0.1"].m_DataCenter, "dc1");
+  EXPECT_EQ(m_Fleets["127.0.0.1"].m_OtherDataCenters[0], "dc2");
+  EXPECT_EQ(m_Fleets["127.0.0.1"].m_Self, idOf<VmId>("127.0.0.1"));
+}
+
 /// Nine hundred servers that register at once are too many for an announcement. All VMs read the
 /// store for them, and met gaps in the announcements that followed.
 TEST_F(FleetClientTwoDataCenters, RecordsThatAreTooManyToAnnounceAreFetchedFromOtherVms) {
--- a/tests/unit-news.cpp
+++ b/tests/unit-news.cpp
@@ -62,6 +62,15 @@
   EXPECT_EQ(Decoded.m_Records[0].m_Value, std::string("\0x", 2));
   EXPECT_FALSE(Decoded.m_Records[1].m_Value);
   EXPECT_EQ(roundTrip(ServerFailed{.m_Server = ServerId{5}}).m_Server, ServerId{5});
+  const ServerLimited Limited = roundTrip(ServerLimited{.m_Server = ServerId{6},
+                                                        .m_PerSecond = 5.7,
+                                                        .m_Age = milliseconds(80),
+                                                        .m_IsForRelay = true});
+  EXPECT_EQ(Limited.m_Server, ServerId{6});
+  EXPECT_EQ(Limited.m_PerSecond, 5.7);
+  EXPECT_EQ(Limited.m_Age, milliseconds(80));
+  EXPECT_TRUE(Limited.m_IsForRelay);
+  EXPECT_EQ(roundTrip(ServerLimited{}).m_PerSecond, std::nullopt);
   EXPECT_EQ(roundTrip(Piece{.m_MessageNumber = 4, .m_Count = 1, .m_Bytes = "x"}).m_Bytes, "x");
   const Snapshot Whole = roundTrip(Snapshot{.m_ConfigurationPosition = {.m_Era = 1, .m_Offset = 3},
                                             .m_ConfigurationAge = milliseconds(20),
@@ -77,6 +86,13 @@
   EXPECT_EQ(Whole.m_Servers.size(), 1U);
 }
 
+TEST(News, ALimitThatIsNoNumberOfRequestsIsRefused) {
+  for (const double Limit :
+       {-1.0, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN()}) {
+    EXPECT_TRUE(decodeNews(encodeNews(ServerLimited{.m_PerSecond = Limit})).has_error()) << Limit;
+  }
+}
+
 RC_GTEST_PROP(News, DecodingAnyBytesGivesAMessageOrAnError, (std::vector<char> Bytes)) {
   decodeNews({Bytes.data(), Bytes.size()});
 }
--- a/tests/unit-peers.cpp
+++ b/tests/unit-peers.cpp
@@ -64,6 +64,23 @@
   EXPECT_EQ(Known.local(), std::vector<std::string>{"10.0.0.3"});
 }
 
+TEST(Peers, EachChangeOfTheKnownVmsIsCounted) {
+  Peers Known({.m_SelfIp = "10.0.0.1", .m_DataCenter = "a"});
+  const auto ChangedBy = [&Known](const auto &Call) {
+    const std::uint64_t Before = Known.changes();
+    Call();
+    return Known.changes() != Before;
+  };
+  EXPECT_TRUE(ChangedBy([&] { Known.heard("10.0.0.2", infoOf("a"), Start); }));
+  EXPECT_FALSE(ChangedBy([&] { Known.heard("10.0.0.2", infoOf("a"), Start); }));
+  EXPECT_TRUE(ChangedBy([&] { Known.heard("10.1.0.1", infoOf("b"), Start); }));
+  EXPECT_FALSE(ChangedBy([&] { Known.heard("10.1.0.2", infoOf("b"), Start); }));
+  EXPECT_EQ(Known.remoteDataCenters(), std::vector<std::string>{"b"});
+  EXPECT_TRUE(ChangedBy([&] { Known.dueHellos(Start + seconds(30)); })) << "10.0.0.2 is silent";
+  EXPECT_TRUE(ChangedBy([&] { Known.dueHellos(Start + seconds(70)); })) << "so is all of b";
+  EXPECT_TRUE(Known.remoteDataCenters().empty());
+}
+
 /// Two VMs must not keep reminding each other of one that is gone.
 TEST(Peers, AVmIsListedWithTheTimeSinceAnyoneHeardFromIt) {
   Peers Known({.m_SelfIp = "10.0.0.1", .m_DataCenter = "a"});
--- a/tests/unit-server-limit.cpp
+++ b/tests/unit-server-limit.cpp
@@ -88,15 +88,19 @@
 TEST(ServerLimit, AReplyThatWasOvertakenDoesNotRaiseALimit) {
   RequestLimit Limit;
   const TimePoint Begin = TimePoint{} + seconds(100);
-  EXPECT_TRUE(Limit.record(6.0, Begin, Begin + milliseconds(80)));
-  EXPECT_FALSE(Limit.record(NoRequestLimit, Begin + milliseconds(10), Begin + milliseconds(90)));
-  EXPECT_FALSE(Limit.record(8.0, Begin + milliseconds(10), Begin + milliseconds(90)));
+  const auto State = [&Limit, Begin](double PerSecond, int SentMillis, int ReceivedMillis) {
+    return Limit.record({.m_PerSecond = PerSecond, .m_SentAt = Begin + milliseconds(SentMillis)},
+                        0.0, Begin + milliseconds(ReceivedMillis));
+  };
+  EXPECT_EQ(State(6.0, 0, 80), LimitChange::Changed);
+  EXPECT_EQ(State(NoRequestLimit, 10, 90), LimitChange::Outdated);
+  EXPECT_EQ(State(8.0, 10, 90), LimitChange::Outdated);
   EXPECT_EQ(Limit.perSecond(), 6.0);
-  EXPECT_TRUE(Limit.record(4.0, Begin + milliseconds(10), Begin + milliseconds(95)));
-  EXPECT_EQ(Limit.perSecond(), 4.0);
-  EXPECT_TRUE(Limit.record(8.0, Begin + milliseconds(95), Begin + milliseconds(180)));
-  EXPECT_TRUE(Limit.record(NoRequestLimit, Begin + milliseconds(180), Begin + milliseconds(260)));
-  EXPECT_FALSE(Limit.isInForce());
+  EXPECT_EQ(State(4.0, 10, 95), LimitChange::Changed);
+  EXPECT_EQ(State(8.0, 95, 180), LimitChange::Changed);
+  EXPECT_EQ(State(8.0, 170, 190), LimitChange::Confirmed);
+  EXPECT_EQ(State(NoRequestLimit, 190, 260), LimitChange::Changed);
+  EXPECT_FALSE(Limit.isKnown());
 }
 
 } // namespace
