Limits of servers: room for requests that do not arrive evenly

In four seconds a server then gets at most five times its limit and two (six times and five are allowed).

A probe's reply is passed to the dispatchers of all services; those that do not know the server recorded its limit, too, and announced and logged it a second time. They ignore it now.

Run: unit-server-limit, unit-limit-fleet, unit-fitness.

--- a/include/vanillahill/kernel/probed/limit_share.hpp
+++ b/include/vanillahill/kernel/probed/limit_share.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "vanillahill/kernel/fleet_view.hpp"
+#include "vanillahill/kernel/probed/request_limit.hpp"
 #include "vanillahill/settings/settings.hpp"
 
 #include <cstddef>
@@ -17,16 +18,22 @@
 /// for this long: the VMs that hold it so far may learn of the change later.
 inline constexpr Duration TakeOverDelay = std::chrono::seconds(3);
 
-/// \brief How many VMs hold a limit: about one for each request per second. Each may send one
-/// request at once, so all of them together stay near the limit however large the fleet is. \param
-/// PerSecond the limit \param LocalVms VMs of the data centre that holds it
+/// Requests that the holders of a limit may send at once, all of them together, beyond those of
+/// one second: room for callers that do not arrive evenly.
+inline constexpr double SpareBurst = 2.0;
+
+/// \brief How many VMs hold a limit: about one for each request per second. So each has a rate
+/// worth having, and all of them together stay near the limit however large the fleet is.
+/// \param PerSecond the limit
+/// \param LocalVms VMs of the data centre that holds it
 std::size_t limitHolders(double PerSecond, std::size_t LocalVms);
 
 /// \brief This VM's part of a server's limit. VMs of the server's data centre hold it, so no two
 /// data centres need to agree; the servers of one without VMs are given to another one. Among the
-/// local VMs rendezvous hashing decides, so that a VM that joins or leaves moves few limits. \param
-/// PerSecond the limit \return requests per second; zero when other VMs hold the limit \note
-/// Complexity: linear in the local VMs.
-double limitShare(const FleetView &Fleet, const ServerSettings &Server, double PerSecond);
+/// local VMs rendezvous hashing decides, so that a VM that joins or leaves moves few limits.
+/// \param PerSecond the limit
+/// \return no requests per second when other VMs hold the limit
+/// \note Complexity: linear in the local VMs.
+LimitShare limitShare(const FleetView &Fleet, const ServerSettings &Server, double PerSecond);
 
 } // namespace vanillahill::kernel::probed
--- a/include/vanillahill/kernel/probed/request_limit.hpp
+++ b/include/vanillahill/kernel/probed/request_limit.hpp
@@ -19,6 +19,14 @@
   TimePoint m_SentAt{};
 };
 
+/// A VM's part of a limit.
+struct LimitShare {
+  /// Requests per second; zero when other VMs hold the limit.
+  double m_PerSecond = 0.0;
+  /// Requests that may be sent at once after a quiet time.
+  double m_Burst = 1.0;
+};
+
 /// What a statement did to the known limit.
 enum class LimitChange : std::uint8_t {
   /// A later statement is known.
@@ -28,7 +36,7 @@
 };
 
 /// The limit that one incarnation of a backend server has named. A VM that holds a part of it has a
-/// token bucket with room for one request; the other VMs send nothing.
+/// token bucket; the other VMs send nothing.
 class RequestLimit {
 public:
   /// A limit that this VM has no part of is forgotten when no VM has confirmed it for this long, or
@@ -53,8 +61,8 @@
     const bool Ends = Changes && !std::isfinite(Stated.m_PerSecond);
     if (Ends) {
       m_EndedAt = Now;
-      m_ReturnsAt = m_Share > 0.0 ? Now : Now + scaled(ReturnTime, Delay);
-      m_Share = 0.0;
+      m_ReturnsAt = hasShare() ? Now : Now + scaled(ReturnTime, Delay);
+      m_Share = {};
     }
     m_PerSecond = Stated.m_PerSecond;
     m_StatedAt = std::max(m_StatedAt, Now);
@@ -74,16 +82,16 @@
   double perSecond() const { return m_PerSecond; }
 
   /// \brief Requests per second that this VM may send; zero when other VMs hold the limit.
-  double share() const { return m_Share; }
+  double share() const { return m_Share.m_PerSecond; }
 
   /// \brief Sets this VM's part of the limit.
-  /// \param PerSecond requests per second; zero when other VMs hold the limit
   /// \param From when it may be used first, if this VM had no part before
-  void setShare(double PerSecond, TimePoint From, TimePoint Now) {
-    const bool IsNew = m_Share == 0.0;
+  void setShare(const LimitShare &Part, TimePoint From, TimePoint Now) {
+    const bool IsNew = !hasShare();
     m_Tokens = IsNew ? 0.0 : tokens(Now);
     m_CountedAt = IsNew ? std::max(From, Now) : std::max(m_CountedAt, Now);
-    m_Share = PerSecond;
+    m_Share = Part;
+    m_Tokens = std::min(m_Tokens, m_Share.m_Burst);
   }
 
   /// \brief Whether a request may be sent to the server.
@@ -91,7 +99,7 @@
     if (!isKnown()) {
       return Now >= m_ReturnsAt;
     }
-    return m_Share > 0.0 ? tokens(Now) >= 1.0 : Now >= m_ExpiresAt;
+    return hasShare() ? tokens(Now) >= 1.0 : Now >= m_ExpiresAt;
   }
 
   /// \brief When allowsRequest() changes to true.
@@ -100,17 +108,17 @@
     if (!isKnown()) {
       return std::max(Now, m_ReturnsAt);
     }
-    if (m_Share == 0.0) {
+    if (!hasShare()) {
       return std::nullopt;
     }
     const double Missing = std::max(1.0 - tokens(Now), 0.0);
-    const std::chrono::duration<double> Wait(Missing / m_Share);
+    const std::chrono::duration<double> Wait(Missing / m_Share.m_PerSecond);
     return std::max(Now, m_CountedAt) + std::chrono::duration_cast<Duration>(Wait);
   }
 
   /// \brief Counts a request that is sent to the server.
   void countRequest(TimePoint Now) {
-    if (isKnown() && m_Share > 0.0) {
+    if (isKnown() && hasShare()) {
       m_Tokens = std::max(tokens(Now) - 1.0, 0.0);
       m_CountedAt = std::max(m_CountedAt, Now);
     }
@@ -132,13 +140,15 @@
   TimePoint statedAt() const { return m_StatedAt; }
 
 private:
+  bool hasShare() const { return m_Share.m_PerSecond > 0.0; }
+
   static Duration scaled(Duration Length, double Factor) {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Length) * Factor);
   }
 
   double tokens(TimePoint Now) const {
     const std::chrono::duration<double> Passed = std::max(Now - m_CountedAt, Duration::zero());
-    return std::min(m_Tokens + Passed.count() * m_Share, 1.0);
+    return std::min(m_Tokens + Passed.count() * m_Share.m_PerSecond, m_Share.m_Burst);
   }
 
   double m_PerSecond = NoRequestLimit;
@@ -146,7 +156,7 @@
   TimePoint m_ExpiresAt = TimePoint::min();
   std::optional<TimePoint> m_EndedAt;
   TimePoint m_ReturnsAt = TimePoint::min();
-  double m_Share = 0.0;
+  LimitShare m_Share;
   double m_Tokens = 0.0;
   TimePoint m_CountedAt{};
   TimePoint m_AnnouncedAt{};
--- a/src/kernel/probed/dispatcher_report.cpp
+++ b/src/kernel/probed/dispatcher_report.cpp
@@ -78,7 +78,9 @@
 void Dispatcher::recordLimit(ServerId Server, const LimitStatement &Stated, std::string_view Source,
                              TimePoint Now, Actions &Out) {
   BackendView *Backend = findBackend(Server);
-  if (Backend == nullptr && !std::isfinite(Stated.m_PerSecond)) {
+  // A probe's reply is passed to the dispatchers of all services.
+  const bool IsForeign = Backend == nullptr && Source != "request";
+  if (IsForeign || (Backend == nullptr && !std::isfinite(Stated.m_PerSecond))) {
     return;
   }
   RequestLimit &Limit = fitnessOf(Server).limit();
@@ -121,11 +123,9 @@
 }
 
 void Dispatcher::limitAnnounced(const ServerLimitReceived &Announced, TimePoint Now, Actions &Out) {
-  if (findBackend(Announced.m_Server) != nullptr) {
-    recordLimit(Announced.m_Server,
-                {.m_PerSecond = Announced.m_PerSecond, .m_SentAt = Now - Announced.m_Age},
-                LimitAnnouncement, Now, Out);
-  }
+  recordLimit(Announced.m_Server,
+              {.m_PerSecond = Announced.m_PerSecond, .m_SentAt = Now - Announced.m_Age},
+              LimitAnnouncement, Now, Out);
 }
 
 void Dispatcher::fleetChanged(TimePoint Now) {
--- a/src/kernel/probed/limit_share.cpp
+++ b/src/kernel/probed/limit_share.cpp
@@ -41,9 +41,9 @@
   return static_cast<std::size_t>(Holders);
 }
 
-double limitShare(const FleetView &Fleet, const ServerSettings &Server, double PerSecond) {
+LimitShare limitShare(const FleetView &Fleet, const ServerSettings &Server, double PerSecond) {
   if (!holdsDataCenter(Fleet, Server)) {
-    return 0.0;
+    return {};
   }
   const double Limit = std::max(PerSecond, LowestLimit);
   const std::size_t Holders = limitHolders(Limit, Fleet.m_Local.size());
@@ -52,7 +52,11 @@
   const auto Before = static_cast<std::size_t>(
       std::count_if(Fleet.m_Local.begin(), Fleet.m_Local.end(),
                     [&](VmId Vm) { return rankOf(ServerHash, raw(Vm)) < Own; }));
-  return Before < Holders ? Limit / static_cast<double>(Holders) : 0.0;
+  if (Before >= Holders) {
+    return {};
+  }
+  const double Parts = static_cast<double>(Holders);
+  return {.m_PerSecond = Limit / Parts, .m_Burst = std::max((Limit + SpareBurst) / Parts, 1.0)};
 }
 
 } // namespace vanillahill::kernel::probed
