--- a/tests/probed_harness.hpp
+++ b/tests/probed_harness.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <queue>
 #include <set>
 
@@ -81,9 +82,11 @@
 /// a server that does not answer probes. What one VM tells the others arrives after 1 ms.
 class DispatcherHarness {
 public:
+  /// VMs and servers are spread evenly over the data centres.
   explicit DispatcherHarness(std::size_t Servers,
                              const std::function<void(ServiceSettings &)> &Change = {},
-                             std::size_t Vms = 1) {
+                             std::size_t Vms = 1, std::size_t DataCenters = 1)
+      : m_DataCenters(DataCenters) {
     m_Settings = {.m_Id = ServiceId{1}, .m_Name = "service"};
     m_Settings.m_Kinds = {{.m_Id = Look,
                            .m_Name = "look",
@@ -102,7 +105,7 @@
     for (std::size_t Index = 0; Index < Servers; ++Index) {
       m_Settings.m_Servers.push_back({.m_Id = serverId(Index),
                                       .m_Name = "s" + std::to_string(Index),
-                                      .m_DataCenter = "dc",
+                                      .m_DataCenter = dataCenterOf(Index),
                                       .m_Slots = 4});
       m_Servers.emplace(serverId(Index), FakeServer{});
     }
@@ -112,13 +115,14 @@
     for (std::size_t Vm = 0; Vm < Vms; ++Vm) {
       DispatcherContext &Context = m_Contexts.emplace_back();
       Context.m_Self = VmId{static_cast<std::uint32_t>(Vm)};
-      Context.m_DataCenter = "dc";
+      Context.m_DataCenter = dataCenterOf(Vm);
       Context.m_Fleet = fleetOf(Vm, Vms);
       Context.m_Random.seed(20261203 + Vm);
       constexpr std::uint64_t AttemptsPerVm = 1'000'000;
       Context.m_NextAttempt = 1 + Vm * AttemptsPerVm;
-      m_Dispatchers.emplace_back(DispatcherOptions{.m_Settings = m_Settings, .m_Now = m_Now},
-                                 Context);
+      m_Dispatchers.push_back(std::make_unique<Dispatcher>(
+          DispatcherOptions{.m_Settings = m_Settings, .m_Now = m_Now}, Context));
+      m_Timers.push_back(TimePoint::max());
     }
   }
 
@@ -130,15 +134,51 @@
     return ServerId{static_cast<std::uint32_t>(Index + 1)};
   }
 
+  /// "dc" is the first data centre, "dc1" the second one.
+  std::string dataCenterOf(std::size_t Index) const {
+    const std::size_t Position = Index % m_DataCenters;
+    return Position == 0 ? "dc" : "dc" + std::to_string(Position);
+  }
+
   /// The view of a VM that knows all VMs.
-  static FleetView fleetOf(std::size_t Vm, std::size_t Vms) {
-    FleetView Fleet{.m_Self = VmId{static_cast<std::uint32_t>(Vm)}, .m_DataCenter = "dc"};
-    for (std::uint32_t Each = 0; Each < Vms; ++Each) {
-      Fleet.m_Local.push_back(VmId{Each});
+  FleetView fleetOf(std::size_t Vm, std::size_t Vms) const {
+    FleetView Fleet{.m_Self = VmId{static_cast<std::uint32_t>(Vm)},
+                    .m_DataCenter = dataCenterOf(Vm)};
+    for (std::size_t Each = Vm % m_DataCenters; Each < Vms; Each += m_DataCenters) {
+      Fleet.m_Local.push_back(VmId{static_cast<std::uint32_t>(Each)});
+    }
+    for (std::size_t Each = 0; Each < m_DataCenters; ++Each) {
+      if (dataCenterOf(Each) != Fleet.m_DataCenter) {
+        Fleet.m_OtherDataCenters.push_back(dataCenterOf(Each));
+      }
     }
     return Fleet;
   }
 
+  /// A VM learns that VMs have joined or left.
+  void changeFleet(std::size_t Vm, FleetView Fleet) {
+    Fleet.m_ChangedAt = m_Now;
+    m_Contexts[Vm].m_Fleet = std::move(Fleet);
+    m_Dispatchers[Vm]->fleetChanged(m_Now);
+  }
+
+  /// Replaces a VM's process by one that knows nothing but the settings. What the former one has
+  /// sent runs on; the replies are lost.
+  void restart(std::size_t Vm, FleetView Fleet) {
+    for (auto &[Attempt, Running] : m_Running) {
+      Running.m_IsOrphan = Running.m_IsOrphan || Running.m_Vm == Vm;
+    }
+    std::erase_if(m_LimitToldAt, [Vm](const auto &Told) { return Told.first.second == Vm; });
+    m_Dispatchers[Vm] = std::make_unique<Dispatcher>(
+        DispatcherOptions{.m_Settings = m_Settings, .m_Now = m_Now}, m_Contexts[Vm]);
+    changeFleet(Vm, std::move(Fleet));
+    updateTimer(Vm);
+  }
+
+  /// Whether announcements of limits reach one VM from another one.
+  std::function<bool(std::size_t From, std::size_t To)> m_IsAnnounced =
+      [](std::size_t, std::size_t) { return true; };
+
   FakeServer &server(std::size_t Index) { return m_Servers.at(serverId(Index)); }
 
   /// A request arrives at one of the VMs.
@@ -146,30 +186,31 @@
     const RequestId Request{++m_LastRequest};
     m_ArrivedAt[Request] = m_Now;
     Actions Out;
-    m_Dispatchers[Vm].arrive(Request, Kind, m_Now + m_Deadline, m_Now, Out);
+    m_Dispatchers[Vm]->arrive(Request, Kind, m_Now + m_Deadline, m_Now, Out);
     applyActions(Vm, Out);
     return Request;
   }
 
   void callerGone(RequestId Request) {
     Actions Out;
-    m_Dispatchers[0].callerGone(Request, m_Now, Out);
+    m_Dispatchers[0]->callerGone(Request, m_Now, Out);
     applyActions(0, Out);
   }
 
   void configure() {
-    for (Dispatcher &Each : m_Dispatchers) {
-      Each.configure(m_Settings, m_Now);
+    for (std::size_t Vm = 0; Vm < m_Dispatchers.size(); ++Vm) {
+      m_Dispatchers[Vm]->configure(m_Settings, m_Now);
+      updateTimer(Vm);
     }
   }
-  void peerMark(std::size_t Index) { m_Dispatchers[0].peerMark(serverId(Index), false, m_Now); }
+  void peerMark(std::size_t Index) { m_Dispatchers[0]->peerMark(serverId(Index), false, m_Now); }
 
   /// Advances the clock and runs the events and timers that are due.
   void advance(Duration Step) {
     const TimePoint Until = m_Now + Step;
     while (true) {
-      const std::size_t Vm = nextVm();
-      const TimePoint Timer = m_Dispatchers[Vm].nextTimer(m_Now);
+      const auto [Timer, Vm] = m_TimerQueue.empty() ? std::pair(TimePoint::max(), std::size_t{0})
+                                                    : *m_TimerQueue.begin();
       const TimePoint Event = m_Events.empty() ? TimePoint::max() : m_Events.top().m_At;
       const TimePoint Next = std::min(Timer, Event);
       if (Next > Until) {
@@ -182,7 +223,7 @@
         Item.m_Callback(m_Now);
       } else {
         Actions Out;
-        m_Dispatchers[Vm].tick(m_Now, Out);
+        m_Dispatchers[Vm]->tick(m_Now, Out);
         applyActions(Vm, Out);
       }
     }
@@ -195,8 +236,8 @@
   std::size_t answers() const { return m_Answers.size(); }
   std::size_t unfinished() const {
     std::size_t Sum = 0;
-    for (const Dispatcher &Each : m_Dispatchers) {
-      Sum += Each.unfinished();
+    for (const auto &Each : m_Dispatchers) {
+      Sum += Each->unfinished();
     }
     return Sum;
   }
@@ -232,8 +273,8 @@
   }
   NodeStatus status() const {
     NodeStatus Status;
-    for (const Dispatcher &Each : m_Dispatchers) {
-      Each.appendStatus(m_Now, Status);
+    for (const auto &Each : m_Dispatchers) {
+      Each->appendStatus(m_Now, Status);
     }
     return Status;
   }
@@ -273,8 +314,6 @@
 
   ServiceSettings m_Settings;
   std::map<ServerId, FakeServer> m_Servers;
-  /// Announcements of limits do not arrive.
-  bool m_LosesAnnouncements = false;
   /// Announcements of limits that were sent.
   std::size_t m_LimitAnnouncements = 0;
   /// Time that each request has from its arrival.
@@ -284,23 +323,22 @@
   struct RunningAttempt {
     ServerId m_Server{};
     std::size_t m_Vm = 0;
+    /// The VM has restarted since.
+    bool m_IsOrphan = false;
   };
 
-  /// The VM whose timer is due first.
-  std::size_t nextVm() const {
-    std::size_t First = 0;
-    TimePoint FirstTimer = TimePoint::max();
-    for (std::size_t Vm = 0; Vm < m_Dispatchers.size(); ++Vm) {
-      const TimePoint Timer = m_Dispatchers[Vm].nextTimer(m_Now);
-      if (Timer < FirstTimer) {
-        FirstTimer = Timer;
-        First = Vm;
-      }
+  /// To be called after each call of a VM's dispatcher.
+  void updateTimer(std::size_t Vm) {
+    const TimePoint Next = m_Dispatchers[Vm]->nextTimer(m_Now);
+    if (Next != m_Timers[Vm]) {
+      m_TimerQueue.erase({m_Timers[Vm], Vm});
+      m_TimerQueue.emplace(Next, Vm);
+      m_Timers[Vm] = Next;
     }
-    return First;
   }
 
   void applyActions(std::size_t Vm, const Actions &Requested) {
+    updateTimer(Vm);
     for (const Action &Item : Requested) {
       if (const auto *Probed = std::get_if<Probe>(&Item)) {
         probe(Vm, Probed->m_Server);
@@ -313,20 +351,21 @@
         m_AnsweredAt[Final->m_Request] = m_Now;
       } else if (const auto *Failed = std::get_if<TellServerFailure>(&Item)) {
         ++m_FailureReports;
-        tellOthers(Vm, [Server = Failed->m_Server](Dispatcher &Other, TimePoint Now) {
-          Other.peerMark(Server, false, Now);
+        tellOthers(Vm, [this, Server = Failed->m_Server](std::size_t Other, TimePoint Now) {
+          m_Dispatchers[Other]->peerMark(Server, false, Now);
         });
       } else if (const auto *Limited = std::get_if<AnnounceServerLimit>(&Item)) {
         ++m_LimitAnnouncements;
-        if (m_LosesAnnouncements) {
-          continue;
-        }
-        tellOthers(Vm, [Announced = *Limited](Dispatcher &Other, TimePoint Now) {
-          Actions Ignored;
-          Other.limitAnnounced({.m_Server = Announced.m_Server,
-                                .m_PerSecond = Announced.m_PerSecond,
-                                .m_Age = Announced.m_Age + milliseconds(1)},
-                               Now, Ignored);
+        tellOthers(Vm, [this, Vm, Announced = *Limited](std::size_t Other, TimePoint Now) {
+          if (!m_IsAnnounced(Vm, Other)) {
+            return;
+          }
+          Actions Out;
+          m_Dispatchers[Other]->limitAnnounced({.m_Server = Announced.m_Server,
+                                                .m_PerSecond = Announced.m_PerSecond,
+                                                .m_Age = Announced.m_Age},
+                                               Now, Out);
+          applyActions(Other, Out);
         });
       } else if (const auto *Made = std::get_if<Decision>(&Item)) {
         m_Decisions.push_back(*Made);
@@ -338,7 +377,7 @@
     schedule(milliseconds(1), [this, Vm, Told](TimePoint Now) {
       for (std::size_t Other = 0; Other < m_Dispatchers.size(); ++Other) {
         if (Other != Vm) {
-          Told(m_Dispatchers[Other], Now);
+          Told(Other, Now);
         }
       }
     });
@@ -364,7 +403,7 @@
         m_Pauses.push_back({.m_Server = Server, .m_At = Now, .m_Length = Ended.m_PauseFor});
       }
       Actions Out;
-      m_Dispatchers[Vm].probeEnded(Ended, Now, Out);
+      m_Dispatchers[Vm]->probeEnded(Ended, Now, Out);
       applyActions(Vm, Out);
     });
   }
@@ -412,6 +451,7 @@
     const ServerId Server = Found->second.m_Server;
     FakeServer &Fake = m_Servers.at(Server);
     const std::size_t Vm = Found->second.m_Vm;
+    const bool IsOrphan = Found->second.m_IsOrphan;
     m_Running.erase(Found);
     if (std::erase(Fake.m_Queue, Attempt) == 0) {
       --Fake.m_Running;
@@ -421,6 +461,9 @@
         startWork(Fake, Next);
       }
     }
+    if (IsOrphan) {
+      return;
+    }
     AttemptEnded Ended{.m_Attempt = Attempt,
                        .m_Result = WasCancelled ? AttemptResult::Unknown : Fake.m_Result};
     if (Ended.m_Result == AttemptResult::Completed) {
@@ -444,7 +487,7 @@
       m_SaidLeavingAt.emplace(Server, Now);
     }
     Actions Out;
-    m_Dispatchers[Vm].attemptEnded(Ended, Now, Out);
+    m_Dispatchers[Vm]->attemptEnded(Ended, Now, Out);
     applyActions(Vm, Out);
   }
 
@@ -454,9 +497,13 @@
   }
 
   TimePoint m_Now = TimePoint{} + std::chrono::hours(1);
-  /// Deques: a dispatcher refers to its context.
+  const std::size_t m_DataCenters;
+  /// A deque: a dispatcher refers to its context.
   std::deque<DispatcherContext> m_Contexts;
-  std::deque<Dispatcher> m_Dispatchers;
+  std::vector<std::unique_ptr<Dispatcher>> m_Dispatchers;
+  /// Next timer of each VM, and the VMs in order of these.
+  std::vector<TimePoint> m_Timers;
+  std::set<std::pair<TimePoint, std::size_t>> m_TimerQueue;
   std::priority_queue<ScheduledEvent, std::vector<ScheduledEvent>, std::greater<>> m_Events;
   std::map<AttemptId, RunningAttempt> m_Running;
   std::map<RequestId, kernel::Answer> m_Answers;
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -42,6 +42,8 @@
         self.fault_share = 0.0
         # All answers have Server-Leaving.
         self.says_leaving = False
+        # Requests per second that all answers name in Server-Limit.
+        self.limit = None
         self.answer_count = 0
         self.listener = None
         self.writers = set()
@@ -100,7 +102,14 @@
 
     def common_headers(self):
         headers = [("Backend-Load", f"{self.running},{self.waiting},{self.slots},100")]
-        return headers + [("Server-Leaving", "1")] * self.says_leaving
+        headers += [("Server-Leaving", "1")] * self.says_leaving
+        if self.limit is not None:
+            headers.append(("Server-Limit", f"{self.limit:g}"))
+        return headers
+
+    def set_limit(self, limit):
+        self.limit = limit
+        self.testbed.history.limits.append((self.name, self.testbed.clock(), limit))
 
     async def handle_request(self, request, writer):
         if request.target == HEALTH_PATH:
@@ -161,6 +170,7 @@
         attempt.signature = f"{self.name}.{self.answer_count}.{attempt.id}"
         attempt.answer = digest(body)
         attempt.leaving = self.says_leaving
+        attempt.limited = self.limit is not None
         headers = [("Request-Id", attempt.id), ("Response-Signature", attempt.signature),
                    *self.common_headers()]
         if self.state == "draining":
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+import math
 
 # Answers with these statuses state that the request was not executed.
 NOT_RUN_STATUSES = {408, 421, 429, 503}
@@ -15,6 +16,12 @@
 # How long a VM may take to heed Retry-After, and how many requests a server may get after that.
 RETRY_AFTER_REACTION_S = 0.5
 MAX_TURNED_AWAY_REQUESTS = 2
+# Requests to a server in a window exceed its Server-Limit beyond this factor and number; a VM counts
+# from so long after it passed the limit on.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SPARE_REQUESTS = 5
+LIMIT_REACTION_S = 0.5
 
 
 class Checker:
@@ -44,6 +51,7 @@
         self.check_leaving_servers()
         self.check_announced_leaving()
         self.check_turned_away()
+        self.check_limits()
         self.check_cut_connections()
         self.check_retry_budget()
         self.check_process_ends()
@@ -257,6 +265,46 @@
                     self.add_violation("BUDGET", f"{server} got {count} requests from {vm} within "
                                                  f"the {attempt.retry_after:g} s of Retry-After")
 
+    def check_limits(self):
+        """VMs that passed an answer with Server-Limit on keep it, together."""
+        told = collections.defaultdict(dict)
+        for request in sorted(self.history.sent, key=lambda request: request.ended):
+            for attempt in self.attempts_by_id[request.id]:
+                if attempt.limited and attempt.signature and \
+                        attempt.signature == request.signature:
+                    told[attempt.server].setdefault(request.vm, request.ended)
+        received = collections.defaultdict(list)
+        for attempt in sorted(self.history.ran, key=lambda attempt: attempt.at):
+            request = self.requests_by_id.get(attempt.id)
+            since = told[attempt.server].get(request.vm) if request else None
+            if since is not None and attempt.at >= since + LIMIT_REACTION_S and all(
+                    span.end + LIMIT_WINDOW_S < attempt.at or span.begin > attempt.at
+                    for where in (request.vm, request.vm + " process")
+                    for span in self.spans[where]):
+                received[attempt.server].append(attempt.at)
+        for server, times in received.items():
+            named = [(at, limit) for name, at, limit in self.history.limits if name == server]
+            for begin in times:
+                if begin < named[0][0] + self.bounds["stability_window"]:
+                    continue
+                allowed = LIMIT_FACTOR * self.limited_requests(named, begin) + LIMIT_SPARE_REQUESTS
+                self.judged["limit"] += allowed < math.inf
+                count = self.count_between(times, begin, begin + LIMIT_WINDOW_S)
+                if count > allowed:
+                    self.add_violation("LIMIT", f"{server} got {count} requests in "
+                                                f"{LIMIT_WINDOW_S:g} s from {begin:.1f} s on, "
+                                                f"allowed {allowed:.1f}")
+                    break
+
+    @staticmethod
+    def limited_requests(named, begin):
+        """How many requests the limits of a server allow in the window."""
+        ends = [at for at, _ in named[1:]] + [math.inf]
+        return sum(max(0.0, min(end, begin + LIMIT_WINDOW_S) - max(at, begin)) *
+                   (math.inf if limit is None else limit)
+                   for (at, limit), end in zip(named, ends)
+                   if min(end, begin + LIMIT_WINDOW_S) > max(at, begin))
+
     def check_cut_connections(self):
         """A request that an undisturbed server answered must not end with a cut connection."""
         cut_requests = collections.Counter()
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -54,8 +54,9 @@
     answer: str = ""
     # The server wrote the complete answer, and no fault truncated it.
     answered: bool = False
-    # The answer had Server-Leaving.
+    # The answer had Server-Leaving, Server-Limit.
     leaving: bool = False
+    limited: bool = False
     # Seconds of Retry-After, and when the answer with it was written.
     retry_after: float = 0.0
     refused_at: float = 0.0
@@ -97,6 +98,8 @@
     spans: list = dataclasses.field(default_factory=list)
     # (server, time at which the store acknowledged that it leaves)
     leaving: list = dataclasses.field(default_factory=list)
+    # (server, time, requests per second that it names from then on, or None)
+    limits: list = dataclasses.field(default_factory=list)
     # (acknowledged at, {route: {services}}) in the order of the configuration versions
     versions: list = dataclasses.field(default_factory=list)
     # (acknowledged at, bytes) of configuration versions
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -16,6 +16,8 @@
 ROUTES_PER_STEP = 200
 COPY_AGES_S = (1.0, 4.0)
 REWRITE_S = 2.0
+# Requests per second that a server takes from all VMs together.
+LIMITS = (0.0, 0.5, 1.0, 2.5, 4.0)
 # How much longer than the drain bound a server says that it leaves before VMs can read it.
 UNHEARD_EXTRA_S = 4.0
 
@@ -132,6 +134,24 @@
             server.fault = None
 
 
+async def limit_requests(faults, limit):
+    """Servers name how many requests they take from all VMs together, then others, then none."""
+    testbed = faults.testbed
+    while time.monotonic() < limit:
+        named = {faults.choose_removable_server() for _ in range(testbed.random.randint(1, 3))}
+        named.discard(None)
+        # Sometimes all servers of both services are short.
+        if testbed.random.random() < 0.3:
+            named = set(faults.healthy_servers())
+        for _ in range(testbed.random.randint(1, 3)):
+            for server in sorted(named, key=lambda server: server.name):
+                server.set_limit(testbed.random.choice(LIMITS))
+            await asyncio.sleep(testbed.random.uniform(5.0, 12.0))
+        for server in sorted(named, key=lambda server: server.name):
+            server.set_limit(None)
+        await asyncio.sleep(testbed.random.uniform(0.5, 3.0))
+
+
 @dataclasses.dataclass(frozen=True)
 class Scenario:
     play: typing.Callable
@@ -143,5 +163,7 @@
     "growth": Scenario(grow_configuration, ("leave", "join", "crash")),
     "store-copy": Scenario(return_from_copy, ("leave", "join", "configuration")),
     "leaving-header": Scenario(leave_unheard, ("join", "settings_change")),
+    "server-limit": Scenario(limit_requests, ("kill", "pause", "planned_stop", "join", "leave",
+                                              "settings_change")),
     "retry-after": Scenario(turn_away, ("join", "leave", "settings_change")),
 }
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -251,6 +251,38 @@
         self.assertEqual(set(), self.turned_away([10.6, 11.0, 12.4],
                                                  spans=[Span("vm-0", 10.2, 10.3)]))
 
+    def limited(self, times, limits, **changes):
+        """i-1 names its limits; vm-0 passes an answer with one on at 10 s and sends at the times."""
+        requests = [request(at=9.9, ended=10.0)]
+        attempts = [attempt(at=9.95, limited=True)]
+        for number, at in enumerate(times):
+            requests.append(request(id=f"r{number}", answer_id=f"r{number}", at=at, ended=at + 0.1,
+                                    signature=f"t{number}", **changes.get("others", {})))
+            attempts.append(attempt(id=f"r{number}", at=at, signature=f"t{number}"))
+        return self.violated_rules(requests, attempts, spans=changes.get("spans", []),
+                                   limits=[("i-1", *limit) for limit in limits])
+
+    def test_twelve_requests_in_four_seconds_at_a_limit_of_one(self):
+        self.assertEqual({"LIMIT"}, self.limited([14 + 0.3 * n for n in range(12)], [(9.0, 1.0)]))
+
+    def test_eleven_requests_in_four_seconds_at_a_limit_of_one(self):
+        self.assertEqual(set(), self.limited([14 + 0.3 * n for n in range(11)], [(9.0, 1.0)]))
+
+    def test_requests_beyond_a_limit_before_the_rule_begins(self):
+        self.assertEqual(set(), self.limited([10.6 + 0.1 * n for n in range(13)], [(9.0, 1.0)]))
+
+    def test_requests_beyond_a_limit_that_has_ended(self):
+        self.assertEqual(set(), self.limited([14 + 0.3 * n for n in range(12)],
+                                             [(9.0, 1.0), (16.0, None)]))
+
+    def test_requests_beyond_a_limit_from_a_vm_that_was_not_told(self):
+        self.assertEqual(set(), self.limited([14 + 0.3 * n for n in range(12)], [(9.0, 1.0)],
+                                             others={"vm": "vm-1"}))
+
+    def test_requests_beyond_a_limit_from_a_cut_vm(self):
+        self.assertEqual(set(), self.limited([14 + 0.3 * n for n in range(12)], [(9.0, 1.0)],
+                                             spans=[Span("vm-0", 13.0, 14.0)]))
+
     def test_leaving_server_after_the_bound(self):
         self.expect_violation("DRAIN", [request()], [attempt()], leaving=[("i-1", 17.0)])
 
