Limits of servers: both sides of a cut together keep them

VMs that are cut off from each other forget the others after 12 to 16 s. A VM now takes nothing over while half or more of the VMs that it knew within the last minute are missing, or while VMs are still being missed one after another.

What that costs: when half of a data centre's VMs or more are gone for good, their parts of limits are unused for a minute; when fewer are, for some 20 s.

Run: all unit tests but the exploration of repeats; the new test fails with the guard undone.

--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -7,6 +7,7 @@
 #include "vanillahill/fleet/failure_throttle.hpp"
 #include "vanillahill/fleet/follower.hpp"
 #include "vanillahill/fleet/lapse_watch.hpp"
+#include "vanillahill/fleet/majority_guard.hpp"
 #include "vanillahill/fleet/news.hpp"
 #include "vanillahill/fleet/peers.hpp"
 #include "vanillahill/fleet/snapshot_fetcher.hpp"
@@ -183,6 +184,7 @@
   std::optional<TimePoint> m_DecideFirstReadsAt;
   /// Fleet size for which the settings in force were computed.
   std::size_t m_SettingsFleetSize = 1;
+  fleet::MajorityGuard m_MajorityGuard;
   /// Peers::changes() when the fleet was last published.
   std::uint64_t m_PublishedFleet = 0;
   /// Fleet size in the last log line about it.
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -644,7 +644,8 @@
 
 /// Passes on which VMs share the work, whenever that has changed.
 void FleetClient::publishFleet() {
-  if (m_Peers.changes() == m_PublishedFleet || !m_Options.m_OnFleetChanged) {
+  const bool MayTakeOver = m_MajorityGuard.mayTakeOver(m_Peers.localSize(), SystemClock().now());
+  if (m_Peers.changes() == m_PublishedFleet || !MayTakeOver || !m_Options.m_OnFleetChanged) {
     return;
   }
   m_PublishedFleet = m_Peers.changes();
--- a/tests/unit-limit-fleet.cpp
+++ b/tests/unit-limit-fleet.cpp
@@ -1,6 +1,8 @@
 #include "probed_harness.hpp"
 
-#include <rapidcheck/gtest.h>
+#include "vanillahill/fleet/majority_guard.hpp"
+
+#include <numeric>
 
 namespace vanillahill::kernel::probed {
 namespace {
@@ -43,6 +45,9 @@
         }
       }
     }
+    for (VmState &Vm : m_Vms) {
+      Vm.m_Guard.mayTakeOver(Vm.m_Known.size(), m_Service.now());
+    }
     for (std::size_t Index = 0; Index < Options.m_Servers; ++Index) {
       // Room for all requests, so that only limits turn any away.
       m_Service.server(Index).m_Slots = 200;
@@ -86,6 +91,7 @@
   void restart(std::size_t Vm) {
     recordFault(Vm, Duration::zero());
     m_Vms[Vm].m_Known = {Vm};
+    m_Vms[Vm].m_Guard = {};
     m_Service.restart(Vm, viewOf(Vm));
     for (std::size_t Other = 0; Other < m_Options.m_Vms; ++Other) {
       if (areLocal(Vm, Other)) {
@@ -101,10 +107,13 @@
   }
 
   /// VMs are cut off from all others for a time; they reach the servers and each other.
-  void cut(std::span<const std::size_t> Cut, Duration Length) {
+  /// \param IsExcused the VMs may exceed limits meanwhile
+  void cut(std::span<const std::size_t> Cut, Duration Length, bool IsExcused = true) {
     ++m_LastSide;
     for (const std::size_t Vm : Cut) {
-      recordFault(Vm, Length);
+      if (IsExcused) {
+        recordFault(Vm, Length);
+      }
       m_Vms[Vm].m_Side = m_LastSide;
     }
     for (std::size_t Vm = 0; Vm < m_Options.m_Vms; ++Vm) {
@@ -182,6 +191,7 @@
   };
   struct VmState {
     std::set<std::size_t> m_Known;
+    fleet::MajorityGuard m_Guard;
     TimePoint m_FrozenUntil = TimePoint::min();
     /// VMs of different sides do not reach each other.
     std::size_t m_Side = 0;
@@ -207,12 +217,19 @@
 
   void learn(std::size_t Vm, std::size_t Other) {
     if (m_Vms[Vm].m_Side == m_Vms[Other].m_Side && m_Vms[Vm].m_Known.insert(Other).second) {
-      m_Service.changeFleet(Vm, viewOf(Vm));
+      publishView(Vm);
     }
   }
 
   void forget(std::size_t Vm, std::size_t Other) {
     if (m_Vms[Vm].m_Side != m_Vms[Other].m_Side && m_Vms[Vm].m_Known.erase(Other) > 0) {
+      publishView(Vm);
+      after(toSeconds(fleet::MajorityGuard::QuietTime), [this, Vm] { publishView(Vm); });
+    }
+  }
+
+  void publishView(std::size_t Vm) {
+    if (m_Vms[Vm].m_Guard.mayTakeOver(m_Vms[Vm].m_Known.size(), m_Service.now())) {
       m_Service.changeFleet(Vm, viewOf(Vm));
     }
   }
@@ -388,6 +405,24 @@
   }
 }
 
+/// Both sides of a cut took the limits of all VMs that they no longer knew.
+TEST(LimitFleet, BothSidesOfACutTogetherKeepALimit) {
+  for (const FleetSize &Size : FleetSizes) {
+    for (const double CutShare : {0.2, 0.5, 0.8}) {
+      LimitFleet Fleet(optionsOf(Size, 6));
+      Fleet.setLimit(0, 6.0);
+      Fleet.setLimit(1, 20.0);
+      Fleet.run(seconds(4));
+      std::vector<std::size_t> Cut(
+          static_cast<std::size_t>(CutShare * static_cast<double>(Size.m_Vms)));
+      std::iota(Cut.begin(), Cut.end(), 0);
+      Fleet.cut(Cut, seconds(50), false);
+      Fleet.run(seconds(55));
+      EXPECT_LE(Fleet.largestShareOfAllowed(), 1.0) << Size.m_Vms << " VMs, " << CutShare;
+    }
+  }
+}
+
 /// One random fault, or a change of a limit.
 void disturb(LimitFleet &Fleet, const FleetSize &Size) {
   const double Kind = Fleet.draw(0.0, 1.0);
--- a/tests/unit-peers.cpp
+++ b/tests/unit-peers.cpp
@@ -1,3 +1,4 @@
+#include "vanillahill/fleet/majority_guard.hpp"
 #include "vanillahill/fleet/news.hpp"
 #include "vanillahill/fleet/peers.hpp"
 
@@ -81,6 +82,21 @@
   EXPECT_TRUE(Known.remoteDataCenters().empty());
 }
 
+TEST(MajorityGuard, AVmThatLosesHalfOfTheOthersTakesNothingOverForAMinute) {
+  MajorityGuard Guard;
+  EXPECT_TRUE(Guard.mayTakeOver(1, Start)) << "the first VM";
+  EXPECT_TRUE(Guard.mayTakeOver(6, Start + seconds(1)));
+  EXPECT_FALSE(Guard.mayTakeOver(4, Start + seconds(20))) << "more may be missed at once";
+  EXPECT_TRUE(Guard.mayTakeOver(4, Start + seconds(28)));
+  EXPECT_FALSE(Guard.mayTakeOver(3, Start + seconds(29)));
+  EXPECT_FALSE(Guard.mayTakeOver(3, Start + seconds(40)));
+  EXPECT_TRUE(Guard.mayTakeOver(6, Start + seconds(41))) << "all are back";
+  EXPECT_FALSE(Guard.mayTakeOver(1, Start + seconds(100)));
+  EXPECT_TRUE(Guard.mayTakeOver(1, Start + seconds(101))) << "the others are gone";
+  EXPECT_TRUE(Guard.mayTakeOver(2, Start + seconds(102)));
+  EXPECT_FALSE(Guard.mayTakeOver(1, Start + seconds(120))) << "the other one may be the majority";
+}
+
 /// Two VMs must not keep reminding each other of one that is gone.
 TEST(Peers, AVmIsListedWithTheTimeSinceAnyoneHeardFromIt) {
   Peers Known({.m_SelfIp = "10.0.0.1", .m_DataCenter = "a"});
