--- a/include/vanillahill/ctl/vm_status.hpp
+++ b/include/vanillahill/ctl/vm_status.hpp
@@ -24,6 +24,8 @@
   std::vector<std::string> m_LeavingServers;
   /// Backend servers that want no request from this VM now.
   std::vector<std::string> m_PausedServers;
+  /// Backend servers that take a limited number of requests from all VMs together.
+  std::vector<std::string> m_LimitedServers;
   /// Empty when it answered.
   std::string m_Fault;
 };
@@ -42,7 +44,7 @@
 bool inForce(std::span<const VmStatus> Vms, std::span<const peer::FileVersion> Versions);
 
 /// \brief A table: each VM, its state, its version of each file, how many versions it is behind,
-/// and how many backend servers are leaving or paused for it.
+/// and how many backend servers are leaving, paused or limited for it.
 std::string statusTable(std::span<const VmStatus> Vms, std::span<const peer::FileVersion> Versions);
 
 /// \brief The same as one JSON object.
--- a/src/ctl/vm_status.cpp
+++ b/src/ctl/vm_status.cpp
@@ -31,8 +31,9 @@
     const std::size_t Width = std::max<std::size_t>(Each.m_File.size(), 7);
     Row += fmt::format(" {:>{}}", versionOn(Vm, Each.m_File), Width);
   }
-  return Row + fmt::format(" {:>4} {:>7} {:>6}\n", lagOf(Vm, Versions), Vm.m_LeavingServers.size(),
-                           Vm.m_PausedServers.size());
+  return Row + fmt::format(" {:>4} {:>7} {:>6} {:>7}\n", lagOf(Vm, Versions),
+                           Vm.m_LeavingServers.size(), Vm.m_PausedServers.size(),
+                           Vm.m_LimitedServers.size());
 }
 
 void readServers(const Json &Body, VmStatus &Vm) {
@@ -45,6 +46,9 @@
     if (Each.value("pause_left_ms", 0) > 0) {
       Vm.m_PausedServers.push_back(Name);
     }
+    if (Each.contains("limit_per_s") && Each.at("limit_per_s").is_number()) {
+      Vm.m_LimitedServers.push_back(Name);
+    }
   }
 }
 
@@ -57,6 +61,7 @@
               .m_Versions = {},
               .m_LeavingServers = {},
               .m_PausedServers = {},
+              .m_LimitedServers = {},
               .m_Fault = ""};
   try {
     const Json Body = Json::parse(Text);
@@ -91,6 +96,7 @@
           .m_Versions = {},
           .m_LeavingServers = {},
           .m_PausedServers = {},
+          .m_LimitedServers = {},
           .m_Fault = Kind + ": " + Cause.m_Detail};
 }
 
@@ -112,7 +118,7 @@
   for (const peer::FileVersion &Each : Versions) {
     Table += fmt::format(" {:>{}}", Each.m_File, 7);
   }
-  Table += "  LAG LEAVING PAUSED\n";
+  Table += "  LAG LEAVING PAUSED LIMITED\n";
   for (const VmStatus &Vm : Vms) {
     Table += rowOf(Vm, Versions);
   }
@@ -134,6 +140,7 @@
     Row["lag"] = lagOf(Vm, Versions);
     Row["leaving_servers"] = Vm.m_LeavingServers;
     Row["paused_servers"] = Vm.m_PausedServers;
+    Row["limited_servers"] = Vm.m_LimitedServers;
     Row["fault"] = Vm.m_Fault;
     List.push_back(std::move(Row));
   }
