--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -123,6 +123,9 @@
   /// \return the stream to read
   std::optional<Stream> nextRead(TimePoint Now);
 
+  /// \brief When the next read of a stream is due.
+  TimePoint dueAt(Stream Which) const { return state(Which).m_NextReadAt; }
+
   /// \brief When nextRead() should be called next; max() while a read runs.
   TimePoint nextTimer() const;
 
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -109,6 +109,7 @@
 
 private:
   void runDueTasks();
+  void logLateRead(fleet::Stream Which, TimePoint Now);
   void startTimer();
   void decideFirstReads(TimePoint Now);
   void onRead(fleet::Stream Which, const std::optional<fleet::Position> &From, TimePoint AskedAt,
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -24,6 +24,8 @@
 constexpr Duration MaxPeerWait = 4 * PeerWait;
 /// A range with more changed servers than this is logged in one line.
 constexpr std::size_t MaxServerLines = 20;
+/// A read that begins later than this after it was due gets a log line.
+constexpr Duration MinLoggedDelay = std::chrono::milliseconds(100);
 /// A snapshot frame is sent again for this long, as many VMs may fetch it at once.
 constexpr Duration SnapshotLifetime = std::chrono::milliseconds(100);
 
@@ -117,6 +119,7 @@
   const bool WaitsForSnapshot = m_Fetcher.isFetching() && !m_Follower.isComplete();
   if (const auto Which = WaitsForSnapshot ? std::nullopt : m_Follower.nextRead(Now)) {
     const auto From = m_Follower.position(*Which);
+    logLateRead(*Which, Now);
     m_Store.m_Read(*Which, From ? std::optional(From->m_Offset) : std::nullopt,
                    [Self = shared_from_this(), Which = *Which, From, Now](StoreResult Result) {
                      if (!Self->m_Closed) {
@@ -127,6 +130,19 @@
   startTimer();
 }
 
+/// Logs a read that begins late although the store answers: another one was running.
+void FleetClient::logLateRead(Stream Which, TimePoint Now) {
+  const Duration Late = Now - m_Follower.dueAt(Which);
+  if (m_Follower.failures() > 0 || !m_Follower.isComplete() || Late < MinLoggedDelay) {
+    return;
+  }
+  observe::log(
+      LogLevel::Warning, "store_read_late",
+      {{"stream", std::string(toString(Which))},
+       {"late_ms", std::to_string(toMillis(Late))},
+       {"age_ms", std::to_string(toMillis(Now - m_Follower.currentAt(Which).value_or(Now)))}});
+}
+
 void FleetClient::startTimer() {
   TimePoint Next = std::min(m_Catalog.nextTimer(), m_Peers.nextTimer());
   if (m_Follower.isComplete() || !m_Fetcher.isFetching()) {
