--- a/tests/unit-backend-pool.cpp
+++ b/tests/unit-backend-pool.cpp
@@ -149,6 +149,40 @@
   }
 }
 
+/// Bytes that are no reply may come until the connection is closed.
+TEST_F(PoolTest, AReplyWithoutEndFailsAtItsLimitLongBeforeTheDeadline) {
+  constexpr std::size_t BeyondHeadLimit = 64U << 10U;
+  constexpr std::size_t BeyondBodyLimit = 20U << 20U;
+  std::atomic<int> Variant = 0;
+  Backend Server([&Variant](const BackendRequest &Request) {
+    const std::string Head =
+        "HTTP/1.1 200 OK\r\nVH-Exchange: " + std::string(Request["VH-Exchange"]) + "\r\n";
+    switch (Variant) {
+    case 0:
+      return std::string(BeyondHeadLimit, 'x');
+    case 1:
+      return Head + "X: " + std::string(BeyondHeadLimit, 'x');
+    case 2:
+      return Head + "\r\n" + std::string(BeyondBodyLimit, 'x');
+    case 3:
+      return Head + "Transfer-Encoding: chunked\r\n\r\n1;" + std::string(BeyondHeadLimit, 'x');
+    case 4:
+      return Head + "Transfer-Encoding: chunked\r\n\r\n4000000\r\n" +
+             std::string(BeyondBodyLimit, 'x');
+    default:
+      return Backend::reply(Request, "whole");
+    }
+  });
+  applySettings(deskSettings({Server.port()}));
+  constexpr int Variants = 5;
+  for (int Attempt = 1; Attempt <= Variants; ++Attempt) {
+    const auto Ended = dispatchAndAwait(static_cast<std::uint64_t>(Attempt));
+    EXPECT_EQ(Ended.m_Result, AttemptResult::Unknown) << Variant;
+    ++Variant;
+  }
+  EXPECT_EQ(dispatchAndAwait(Variants + 1).m_Result, AttemptResult::Completed);
+}
+
 TEST_F(PoolTest, DiscardsALateReply) {
   std::promise<void> Release;
   auto Released = Release.get_future().share();
