Follower: news of servers do not wait for a long configuration

Cause, shown by store_read_late: a VM read one stream at a time, so the read of the servers waited 0.5 to 1.5 s for that of a configuration; with all VMs reading it at once, none announced the servers, and what they knew grew older than the bound.

A second read now begins when the first one has run for a twentieth of the bound and what is known of the other stream is older than 0.6 of it. The other order holds, too: a new configuration does not wait for many records of servers.

Tests fail without the rule: in fleets of 20, 137 and 472 VMs that all read a configuration for 4 s, the servers' records became 4.0 to 4.4 s old at a bound of 2 s, now at most 2 s.

--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -86,6 +86,12 @@
   static constexpr Duration MaxFirstReadDelay = std::chrono::milliseconds(1200);
   /// Pause after the first of several failed reads in a row; doubled after each further one.
   static constexpr Duration InitialBackoff = std::chrono::milliseconds(150);
+  /// Reads of both streams run at the same time when the first one has run for longer than this
+  /// share of the bound, and the age of what is known of the other stream exceeds the second one:
+  /// long records take longer than the other stream may wait. After a lost position the other
+  /// stream waits all the same: another VM is likely to announce its listing meanwhile.
+  static constexpr double LongReadShare = 0.05;
+  static constexpr double UrgentAgeShare = 0.6;
   /// Upper limit of the pause, before it is varied at random by up to 25 %.
   static constexpr Duration MaxBackoff = std::chrono::milliseconds(800);
 
@@ -118,15 +124,15 @@
   /// \brief Whether every stream was read or adopted.
   bool isComplete() const;
 
-  /// \brief Starts the next read, if one is due. The caller must report its end with
-  /// readSucceeded() or readFailed().
+  /// \brief Starts the next read, if one is due: one at a time, or one of each stream when the
+  /// first one lasts. The caller must report its end with readSucceeded() or readFailed().
   /// \return the stream to read
   std::optional<Stream> nextRead(TimePoint Now);
 
   /// \brief When the next read of a stream is due.
   TimePoint dueAt(Stream Which) const { return state(Which).m_NextReadAt; }
 
-  /// \brief When nextRead() should be called next; max() while a read runs.
+  /// \brief When nextRead() should be called next; max() while both streams are read.
   TimePoint nextTimer() const;
 
   /// \brief Position at which the next read of a stream begins; nothing when a listing with the
@@ -161,7 +167,8 @@
   /// \param To where the next read begins
   /// \return whether the records can be used: not when they are of an earlier era, or follow a
   /// position of an earlier era. The read has then ended
-  bool answered(const std::optional<Position> &From, const Position &To, TimePoint Now);
+  bool answered(Stream Which, const std::optional<Position> &From, const Position &To,
+                TimePoint Now);
 
   /// \brief Whether this is the first report of something outdated in this era.
   bool isFirstOutdated() { return !std::exchange(m_HasNotedOutdated, true); }
@@ -219,6 +226,10 @@
     std::optional<TimePoint> m_ReadBy;
     /// Position up to which some VM announced the records to all others.
     Position m_AnnouncedTo;
+    /// When the running read began; nothing while none runs.
+    std::optional<TimePoint> m_ReadingSince;
+    /// Where the running or last read began; nothing for a listing.
+    std::optional<Position> m_ReadFrom;
   };
 
   StreamState &state(Stream Which) { return m_Streams[static_cast<std::size_t>(Which)]; }
@@ -226,15 +237,16 @@
     return m_Streams[static_cast<std::size_t>(Which)];
   }
   void scheduleRead(StreamState &State);
+  /// \return whether a listing must be read, since the store's position is another one
+  bool isPositionLost(const StreamState &State) const;
+  /// \return when a read of the stream may begin, as far as reads that run now are concerned
+  TimePoint mayReadFrom(Stream Which) const;
   /// \return whether the era is new
   bool hearEra(std::uint64_t Era);
 
   FollowerOptions m_Options;
   std::mt19937_64 m_Random;
   std::array<StreamState, StreamCount> m_Streams;
-  std::optional<Stream> m_Reading;
-  /// Where the running or last read began; nothing for a listing.
-  std::optional<Position> m_ReadFrom;
   std::uint64_t m_Era = 0;
   /// Something of an earlier era was reported in this one.
   bool m_HasNotedOutdated = false;
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -7,41 +7,64 @@
 Follower::Follower(FollowerOptions Options) : m_Options(Options), m_Random(Options.m_Seed) {}
 
 std::optional<Stream> Follower::nextRead(TimePoint Now) {
-  if (m_Reading || Now < m_PausedUntil) {
+  if (Now < m_PausedUntil) {
     return std::nullopt;
   }
   std::optional<Stream> Next;
   for (std::size_t Index = 0; Index < StreamCount; ++Index) {
     const auto Which = static_cast<Stream>(Index);
-    const bool IsDue = state(Which).m_NextReadAt <= Now;
+    const bool IsDue = std::max(state(Which).m_NextReadAt, mayReadFrom(Which)) <= Now;
     if (IsDue && (!Next || state(Which).m_NextReadAt < state(*Next).m_NextReadAt)) {
       Next = Which;
     }
   }
-  m_Reading = Next;
-  m_ReadFrom = Next ? position(*Next) : std::nullopt;
+  if (Next) {
+    state(*Next).m_ReadingSince = Now;
+    state(*Next).m_ReadFrom = position(*Next);
+  }
   return Next;
 }
 
-TimePoint Follower::nextTimer() const {
-  if (m_Reading) {
+TimePoint Follower::mayReadFrom(Stream Which) const {
+  if (state(Which).m_ReadingSince) {
     return TimePoint::max();
   }
-  TimePoint Next = TimePoint::max();
+  const auto ShareOfBound = [this](double Share) {
+    return std::chrono::duration_cast<Duration>(m_Options.m_Bound * Share);
+  };
+  TimePoint From = TimePoint::min();
   for (const StreamState &State : m_Streams) {
-    Next = std::min(Next, State.m_NextReadAt);
+    if (State.m_ReadingSince) {
+      const auto &KnownAt = state(Which).m_CurrentAt;
+      From = KnownAt && !isPositionLost(state(Which))
+                 ? std::max(*State.m_ReadingSince + ShareOfBound(LongReadShare),
+                            *KnownAt + ShareOfBound(UrgentAgeShare))
+                 : TimePoint::max();
+    }
   }
-  return std::max(Next, m_PausedUntil);
+  return From;
+}
+
+TimePoint Follower::nextTimer() const {
+  TimePoint Next = TimePoint::max();
+  for (std::size_t Index = 0; Index < StreamCount; ++Index) {
+    const auto Which = static_cast<Stream>(Index);
+    Next = std::min(Next, std::max(state(Which).m_NextReadAt, mayReadFrom(Which)));
+  }
+  return Next == TimePoint::max() ? Next : std::max(Next, m_PausedUntil);
+}
+
+bool Follower::isPositionLost(const StreamState &State) const {
+  return State.m_IsPositionLost || (State.m_Position && State.m_Position->m_Era < m_Era);
 }
 
 std::optional<Position> Follower::position(Stream Which) const {
   const StreamState &State = state(Which);
-  const bool IsLost =
-      State.m_IsPositionLost || (State.m_Position && State.m_Position->m_Era < m_Era);
   const bool AreSeveralMissing = State.m_Position &&
                                  State.m_AnnouncedTo.m_Era == State.m_Position->m_Era &&
                                  State.m_AnnouncedTo.m_Offset > State.m_Position->m_Offset + 1;
-  const bool IsListed = IsLost || (Which == Stream::Configuration && AreSeveralMissing);
+  const bool IsListed =
+      isPositionLost(State) || (Which == Stream::Configuration && AreSeveralMissing);
   return IsListed ? std::nullopt : State.m_Position;
 }
 
@@ -66,13 +89,14 @@
   }
 }
 
-bool Follower::answered(const std::optional<Position> &From, const Position &To, TimePoint Now) {
+bool Follower::answered(Stream Which, const std::optional<Position> &From, const Position &To,
+                        TimePoint Now) {
   noteEra(To.m_Era, Now);
   const bool IsOutdated = To.m_Era < m_Era;
   if (!IsOutdated && (!From || From->m_Era == m_Era)) {
     return true;
   }
-  m_Reading.reset();
+  state(Which).m_ReadingSince.reset();
   if (IsOutdated) {
     pauseUntil(Now + InitialBackoff);
   }
@@ -95,9 +119,9 @@
 }
 
 bool Follower::readSucceeded(Stream Which, const Position &To, TimePoint AskedAt, TimePoint Now) {
-  m_Reading.reset();
-  noteEra(To.m_Era, Now);
   StreamState &State = state(Which);
+  State.m_ReadingSince.reset();
+  noteEra(To.m_Era, Now);
   // After a lost position a lower one is valid, too: a store that tells no era may have gone back.
   State.m_Position =
       State.m_IsPositionLost ? To : std::max(State.m_Position.value_or(Position{}), To);
@@ -114,11 +138,12 @@
 }
 
 void Follower::readFailed(Stream Which, bool IsPositionLost, TimePoint Now) {
-  m_Reading.reset();
+  StreamState &State = state(Which);
+  State.m_ReadingSince.reset();
   if (IsPositionLost) {
-    StreamState &State = state(Which);
     // The position of a later era, which another VM may have told since, is not lost.
-    if (!m_ReadFrom || !State.m_Position || m_ReadFrom->m_Era == State.m_Position->m_Era) {
+    if (!State.m_ReadFrom || !State.m_Position ||
+        State.m_ReadFrom->m_Era == State.m_Position->m_Era) {
       State.m_IsPositionLost = true;
       State.m_NextReadAt = Now;
     }
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -167,7 +167,7 @@
     runDueTasks();
     return;
   }
-  const bool IsUsable = m_Follower.answered(From, Result->m_To, Now);
+  const bool IsUsable = m_Follower.answered(Which, From, Result->m_To, Now);
   noteEra(Now);
   if (!IsUsable) {
     logOutdated("store", Result->m_To.m_Era);
--- a/tests/unit-eras.cpp
+++ b/tests/unit-eras.cpp
@@ -171,7 +171,7 @@
       Reader.readFailed(Which, true, Now);
       return;
     }
-    if (!Reader.answered(From, To, Now)) {
+    if (!Reader.answered(Which, From, To, Now)) {
       return;
     }
     m_Skips += From && From->m_Era != To.m_Era ? 1 : 0;
--- a/tests/unit-follower.cpp
+++ b/tests/unit-follower.cpp
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <deque>
+#include <map>
 #include <set>
 
 namespace vanillahill::fleet {
@@ -263,11 +263,11 @@
   const TimePoint Now = Start + seconds(2);
   const auto Which = Reader.nextRead(Now);
   ASSERT_TRUE(Which);
-  EXPECT_FALSE(Reader.answered(Reader.position(*Which), at(12, 1), Now));
+  EXPECT_FALSE(Reader.answered(*Which, Reader.position(*Which), at(12, 1), Now));
   const auto Next = Reader.nextRead(Now);
   ASSERT_TRUE(Next);
   EXPECT_FALSE(Reader.position(*Next)) << "a listing";
-  EXPECT_TRUE(Reader.answered(std::nullopt, at(12, 1), Now));
+  EXPECT_TRUE(Reader.answered(*Next, std::nullopt, at(12, 1), Now));
   Reader.readSucceeded(*Next, at(12, 1), Now, Now);
   EXPECT_EQ(Reader.position(*Next), at(12, 1));
   EXPECT_EQ(Reader.failures(), 0U);
@@ -286,8 +286,10 @@
   EXPECT_EQ(Reader.position(Stream::Servers), at(4, 1));
   EXPECT_EQ(Reader.knownTo(Stream::Configuration), at(10));
   const TimePoint Now = Start + seconds(2);
-  ASSERT_TRUE(Reader.nextRead(Now));
-  EXPECT_FALSE(Reader.answered(std::nullopt, at(70), Now)) << "the answer of an older history";
+  const auto Which = Reader.nextRead(Now);
+  ASSERT_TRUE(Which);
+  EXPECT_FALSE(Reader.answered(*Which, std::nullopt, at(70), Now))
+      << "the answer of an older history";
   EXPECT_FALSE(Reader.nextRead(Now)) << "not repeated at once";
   EXPECT_TRUE(Reader.isFirstOutdated());
   EXPECT_FALSE(Reader.isFirstOutdated());
@@ -349,18 +351,23 @@
   std::vector<std::size_t> m_Disconnected;
   /// How long the store takes to answer.
   Duration m_ReadTime{};
+  /// How long records of the configuration take on a VM's link from the first second on. With more
+  /// than zero, they are too long for announcements: each VM reads for itself.
+  Duration m_ConfigurationTime{};
   std::size_t m_Reads = 0;
   Duration m_LargestAge{};
+  Duration m_LargestServersAge{};
 
   void run(Duration Length) {
     for (TimePoint Now = Start; Now < Start + Length; Now += milliseconds(1)) {
+      if (m_ConfigurationTime > Duration::zero() && (Now - Start) % Bound == Duration::zero()) {
+        announceLongRecords(Now);
+      }
       for (std::size_t Vm = 0; Vm < m_Vms.size(); ++Vm) {
         step(Vm, Now);
       }
-      while (!m_Running.empty() && m_Running.front().m_AskedAt + m_ReadTime <= Now) {
-        const RunningRead Ended = m_Running.front();
-        m_Running.pop_front();
-        finishRead(Ended, Now);
+      while (!m_Running.empty() && m_Running.begin()->first <= Now) {
+        finishRead(m_Running.extract(m_Running.begin()).mapped(), Now);
       }
       if (Now > Start + Bound) {
         updateLargestAge(Now);
@@ -369,6 +376,14 @@
   }
 
 private:
+  /// All VMs learn at once of a configuration that none of them has.
+  void announceLongRecords(TimePoint Now) {
+    m_LongRecords += 1000;
+    for (Follower &Reader : m_Vms) {
+      Reader.readSoon(Stream::Configuration, at(m_LongRecords), Now);
+    }
+  }
+
   void step(std::size_t Vm, TimePoint Now) {
     const auto Which = m_Vms[Vm].nextRead(Now);
     if (!Which) {
@@ -382,7 +397,10 @@
       m_Vms[Vm].readFailed(*Which, false, Now);
       return;
     }
-    m_Running.push_back({.m_Vm = Vm, .m_Stream = *Which, .m_From = Position, .m_AskedAt = Now});
+    const bool IsLong = *Which == Stream::Configuration && Now > Start + seconds(1);
+    m_Running.emplace(
+        Now + m_ReadTime + (IsLong ? m_ConfigurationTime : Duration::zero()),
+        RunningRead{.m_Vm = Vm, .m_Stream = *Which, .m_From = Position, .m_AskedAt = Now});
   }
 
   struct RunningRead {
@@ -396,6 +414,9 @@
     const Position To =
         at(static_cast<std::uint64_t>((Ended.m_AskedAt - Start) / milliseconds(60)));
     m_Vms[Ended.m_Vm].readSucceeded(Ended.m_Stream, To, Ended.m_AskedAt, Now);
+    if (Ended.m_Stream == Stream::Configuration && m_ConfigurationTime > Duration::zero()) {
+      return;
+    }
     std::bernoulli_distribution IsLost(m_LossShare);
     for (std::size_t Other = 0; Other < m_Vms.size(); ++Other) {
       if (Other != Ended.m_Vm && !IsLost(m_Random)) {
@@ -413,16 +434,62 @@
       for (const Stream Which : {Stream::Configuration, Stream::Servers}) {
         m_LargestAge = std::max(m_LargestAge, Now - Reader.currentAt(Which).value_or(Start));
       }
+      m_LargestServersAge =
+          std::max(m_LargestServersAge, Now - Reader.currentAt(Stream::Servers).value_or(Start));
     }
   }
 
   double m_LossShare;
+  std::uint64_t m_LongRecords = 0;
   std::mt19937_64 m_Random{7};
   std::vector<Follower> m_Vms;
-  /// In the order in which they were sent.
-  std::deque<RunningRead> m_Running;
+  /// By the time at which they end.
+  std::multimap<TimePoint, RunningRead> m_Running;
 };
 
+/// While all VMs read a long configuration, none read the servers, and all learned too late of
+/// those that leave.
+TEST(Follower, NewsOfServersDoNotWaitForALongConfiguration) {
+  for (const std::size_t Vms : {20U, 137U, 472U}) {
+    FleetRun Run(Vms, 0.02);
+    Run.m_ReadTime = milliseconds(4);
+    Run.m_ConfigurationTime = seconds(4);
+    Run.run(seconds(8));
+    EXPECT_LE(Run.m_LargestServersAge, Bound) << Vms << " VMs";
+  }
+}
+
+TEST(Follower, TheNewestConfigurationDoesNotWaitForManyRecordsOfServers) {
+  Follower Reader = current();
+  const TimePoint Now = Start + seconds(1);
+  Reader.heard({.m_Stream = Stream::Configuration,
+                .m_From = at(10),
+                .m_To = at(10),
+                .m_AskedAt = Now - milliseconds(1)},
+               Now);
+  EXPECT_EQ(Reader.nextRead(Now + milliseconds(100)), Stream::Servers);
+  Reader.readSoon(Stream::Configuration, at(13), Now + milliseconds(100));
+  const auto Urgent = std::chrono::duration_cast<Duration>(Bound * Follower::UrgentAgeShare);
+  EXPECT_EQ(Reader.nextRead(Now + Urgent), Stream::Configuration);
+}
+
+TEST(Follower, AReadThatLastsHoldsUpOnlyItsOwnStream) {
+  Follower Reader = current();
+  const TimePoint Now = Start + seconds(2);
+  const auto First = Reader.nextRead(Now);
+  ASSERT_TRUE(First);
+  EXPECT_FALSE(Reader.nextRead(Now)) << "most reads end within milliseconds";
+  const auto LongRead = std::chrono::duration_cast<Duration>(Bound * Follower::LongReadShare);
+  EXPECT_EQ(Reader.nextTimer(), Now + LongRead);
+  const auto Second = Reader.nextRead(Now + LongRead);
+  ASSERT_TRUE(Second);
+  EXPECT_NE(*Second, *First);
+  EXPECT_FALSE(Reader.nextRead(Now + seconds(9)));
+  EXPECT_EQ(Reader.nextTimer(), TimePoint::max());
+  Reader.readSucceeded(*Second, at(11), Now + LongRead, Now + LongRead);
+  EXPECT_LT(Reader.nextTimer(), TimePoint::max());
+}
+
 TEST(Follower, AFleetStaysCurrentWithFewReads) {
   FleetRun Fleet(20, 0.0);
   Fleet.run(seconds(60));
