Limits of servers: one that is gone gets its mark of failure; fewer announcements

A send that fails before any byte left was no sign of failure while the server had a limit, since requests that wait for a connection end so when a limit falls. A limited server that had gone was then tried again and again: 11 times in 2 s in the new test, now once or twice. Only the 100 ms after a limit has fallen are exempt.

A limit is announced every 8 s instead of 4 s. A VM without a part forgets an unconfirmed limit after 30 to 60 s, and the end is announced for 20 s.

Run: unit-server-limit, unit-limit-fleet, unit-fitness.

--- a/include/vanillahill/kernel/probed/request_limit.hpp
+++ b/include/vanillahill/kernel/probed/request_limit.hpp
@@ -41,13 +41,15 @@
 public:
   /// A limit that this VM has no part of is forgotten when no VM has confirmed it for this long, or
   /// up to twice as long. Whether it still holds then shows in the reply to the next request.
-  static constexpr Duration Lifetime = std::chrono::seconds(15);
+  static constexpr Duration Lifetime = std::chrono::seconds(30);
   /// When a limit has ended, the VMs without a part of it return within this time.
   static constexpr Duration ReturnTime = std::chrono::seconds(4);
   /// Interval in which a limit is announced to the other VMs.
-  static constexpr Duration AnnounceInterval = std::chrono::seconds(4);
+  static constexpr Duration AnnounceInterval = std::chrono::seconds(8);
   /// The end of a limit is announced for this long: announcements may be lost.
-  static constexpr Duration EndAnnouncedFor = std::chrono::seconds(10);
+  static constexpr Duration EndAnnouncedFor = std::chrono::seconds(20);
+  /// Requests that waited for a connection end within this time after the limit fell.
+  static constexpr Duration FallTime = std::chrono::milliseconds(100);
 
   /// \brief Records a statement. A lower limit holds at once. A higher one, or none, holds only if
   /// the request was sent after the last statement was received: replies on several connections may
@@ -64,6 +66,9 @@
       m_ReturnsAt = hasShare() ? Now : Now + scaled(ReturnTime, Delay);
       m_Share = {};
     }
+    if (Stated.m_PerSecond < m_PerSecond) {
+      m_FellAt = Now;
+    }
     m_PerSecond = Stated.m_PerSecond;
     m_StatedAt = std::max(m_StatedAt, Now);
     m_ExpiresAt = Now + Lifetime + scaled(Lifetime, Delay);
@@ -78,6 +83,9 @@
     return isKnown() || (m_EndedAt && Now - *m_EndedAt < EndAnnouncedFor);
   }
 
+  /// \brief Whether requests that were not sent may have been held back because the limit fell.
+  bool hasJustFallen(TimePoint Now) const { return m_FellAt && Now - *m_FellAt < FallTime; }
+
   /// \brief Requests per second, or NoRequestLimit.
   double perSecond() const { return m_PerSecond; }
 
@@ -155,6 +163,7 @@
   TimePoint m_StatedAt = TimePoint::min();
   TimePoint m_ExpiresAt = TimePoint::min();
   std::optional<TimePoint> m_EndedAt;
+  std::optional<TimePoint> m_FellAt;
   TimePoint m_ReturnsAt = TimePoint::min();
   LimitShare m_Share;
   double m_Tokens = 0.0;
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -484,7 +484,7 @@
     return;
   case AttemptResult::NotSent:
     // During a pause, or when a limit falls, requests that wait for a connection are not sent.
-    if (!Backend->m_Fitness.isPaused(Now) && !Backend->m_Fitness.limit().isKnown()) {
+    if (!Backend->m_Fitness.isPaused(Now) && !Backend->m_Fitness.limit().hasJustFallen(Now)) {
       addFailure(*Backend, 1.0, Now, Out);
     }
     return;
--- a/tests/unit-limit-fleet.cpp
+++ b/tests/unit-limit-fleet.cpp
@@ -393,6 +393,22 @@
   }
 }
 
+TEST(LimitFleet, AnnouncementsDoNotGrowWithTheVms) {
+  for (const FleetSize &Size : FleetSizes) {
+    LimitFleet Fleet(optionsOf(Size, 7));
+    for (std::size_t Index = 0; Index < Size.m_Servers; ++Index) {
+      Fleet.setLimit(Index, 6.0);
+    }
+    Fleet.run(seconds(2));
+    const std::size_t Before = Fleet.service().m_LimitAnnouncements;
+    constexpr int Intervals = 4;
+    Fleet.run(Intervals * RequestLimit::AnnounceInterval);
+    const std::size_t Announced = Fleet.service().m_LimitAnnouncements - Before;
+    EXPECT_GE(Announced, (Intervals - 1) * Size.m_Servers) << Size.m_Vms << " VMs";
+    EXPECT_LE(Announced, 2 * Intervals * Size.m_Servers) << Size.m_Vms << " VMs";
+  }
+}
+
 TEST(LimitFleet, ALimitIsKeptWhileMostAnnouncementsAreLost) {
   for (const FleetSize &Size : FleetSizes) {
     LimitFleet Fleet(optionsOf(Size, 5));
--- a/tests/unit-server-limit.cpp
+++ b/tests/unit-server-limit.cpp
@@ -85,6 +85,21 @@
   EXPECT_EQ(Service.status().m_Servers[0].m_RequestLimit, std::nullopt);
 }
 
+/// A limited server that has gone was tried again and again: each send failed without a mark.
+TEST(ServerLimit, ALimitedServerThatIsGoneGetsAMarkOfFailure) {
+  DispatcherHarness Service(2);
+  Service.server(0).m_Limit = 50.0;
+  serve(Service, 1, 10.0, seconds(2));
+  Service.server(0).m_Result = AttemptResult::NotSent;
+  serve(Service, 1, 10.0, seconds(2));
+  const auto Ends = Service.decisions(DecisionType::AttemptEnded);
+  const auto Tries = std::count_if(Ends.begin(), Ends.end(), [](const Decision &End) {
+    return End.m_Server == "s0" && End.m_Outcome == "not_sent";
+  });
+  EXPECT_GE(Tries, 1);
+  EXPECT_LE(Tries, 2);
+}
+
 TEST(ServerLimit, AReplyThatWasOvertakenDoesNotRaiseALimit) {
   RequestLimit Limit;
   const TimePoint Begin = TimePoint{} + seconds(100);
