--- a/tests/unit-limit-fleet.cpp
+++ b/tests/unit-limit-fleet.cpp
@@ -401,7 +401,7 @@
     }
     Fleet.run(seconds(2));
     const std::size_t Before = Fleet.service().m_LimitAnnouncements;
-    constexpr int Intervals = 4;
+    constexpr std::size_t Intervals = 4;
     Fleet.run(Intervals * RequestLimit::AnnounceInterval);
     const std::size_t Announced = Fleet.service().m_LimitAnnouncements - Before;
     EXPECT_GE(Announced, (Intervals - 1) * Size.m_Servers) << Size.m_Vms << " VMs";
