--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -4,7 +4,6 @@
 #include "vanillahill/observe/log.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace vanillahill::net {
 
@@ -407,26 +406,6 @@
   publishFleet();
 }
 
-void FleetClient::handleMessage(std::string_view Ip, const fleet::Hello &Message, TimePoint Now) {
-  if (Message.m_AsksForPeers) {
-    const std::string Sender(Ip);
-    send({&Sender, 1},
-         fleet::PeerList{.m_Sender = selfInfo(),
-                         .m_Groups = m_Peers.list(Message.m_Sender.m_DataCenter, Now)});
-  }
-}
-
-void FleetClient::handleMessage(std::string_view /*Ip*/, const fleet::PeerList &Message,
-                                TimePoint Now) {
-  // The first ones are asked in turn: they may know further VMs, and may have a catalog.
-  constexpr std::size_t AskedAtOnce = 2;
-  const std::vector<std::string> Added = m_Peers.learn(Message.m_Groups, Now);
-  for (std::size_t Index = 0; Index < Added.size(); ++Index) {
-    sendHello(Added[Index], Index < AskedAtOnce);
-  }
-  runDueTasks();
-}
-
 void FleetClient::handleMessage(std::string_view Ip, const fleet::StoreNews &Message,
                                 TimePoint Now) {
   const fleet::RecordRange Range = fleet::rangeOf(Message, Now);
@@ -489,38 +468,6 @@
   send(m_Peers.drawLocal(fleet::SnapshotFetcher::OffersPerVm), Offer);
 }
 
-void FleetClient::handleMessage(std::string_view /*Ip*/, const fleet::ServerFailed &Message,
-                                TimePoint /*Now*/) {
-  m_Options.m_OnServerFailed(Message.m_Server);
-}
-
-void FleetClient::handleMessage(std::string_view /*Ip*/, const fleet::ServerLimited &Message,
-                                TimePoint /*Now*/) {
-  if (Message.m_IsForRelay) {
-    fleet::ServerLimited Relayed = Message;
-    Relayed.m_IsForRelay = false;
-    send(m_Peers.local(), Relayed);
-  }
-  if (m_Options.m_OnServerLimit) {
-    m_Options.m_OnServerLimit({.m_Server = Message.m_Server,
-                               .m_PerSecond = Message.m_PerSecond.value_or(kernel::NoRequestLimit),
-                               .m_Age = Message.m_Age});
-  }
-}
-
-void FleetClient::handleMessage(std::string_view Ip, const fleet::Piece &Message,
-                                TimePoint /*Now*/) {
-  if (const auto Frame = m_Pieces.take(Ip, Message)) {
-    onDatagram(Ip, *Frame);
-  }
-}
-
-void FleetClient::handleMessage(std::string_view Ip, const fleet::Snapshot & /*Message*/,
-                                TimePoint /*Now*/) {
-  observe::logFault("datagram_refused", {Errc::PeerFrameMalformed, "read datagram", std::string(Ip),
-                                         "snapshots are not sent as datagrams"});
-}
-
 std::string FleetClient::snapshotFrame(const fleet::SnapshotRequest &Wanted) {
   const auto Now = SystemClock().now();
   if (!isKnown(Wanted)) {
@@ -642,74 +589,4 @@
   }
 }
 
-fleet::VmInfo FleetClient::selfInfo() const {
-  return {.m_DataCenter = m_Options.m_Peers.m_DataCenter,
-          .m_LocalVms = static_cast<std::uint32_t>(m_Peers.localSize()),
-          .m_HasCatalog = m_Follower.isComplete()};
-}
-
-void FleetClient::logFleetSize() {
-  const std::size_t Present = m_Peers.fleetSize();
-  if (Present == m_LoggedFleetSize) {
-    return;
-  }
-  m_LoggedFleetSize = Present;
-  observe::log(LogLevel::Info, "fleet_size",
-               {{"vms", std::to_string(Present)}, {"local", std::to_string(m_Peers.localSize())}});
-}
-
-/// Passes on which VMs share the work, whenever that has changed.
-void FleetClient::publishFleet() {
-  const bool MayTakeOver = m_MajorityGuard.mayTakeOver(m_Peers.localSize(), SystemClock().now());
-  if (m_Peers.changes() == m_PublishedFleet || !MayTakeOver || !m_Options.m_OnFleetChanged) {
-    return;
-  }
-  m_PublishedFleet = m_Peers.changes();
-  const auto Self = idOf<VmId>(m_Options.m_Peers.m_SelfIp);
-  kernel::FleetView Fleet{.m_Self = Self,
-                          .m_DataCenter = m_Options.m_Peers.m_DataCenter,
-                          .m_Local = {Self},
-                          .m_OtherDataCenters = m_Peers.remoteDataCenters()};
-  for (const std::string &Ip : m_Peers.local()) {
-    Fleet.m_Local.push_back(idOf<VmId>(Ip));
-  }
-  m_Options.m_OnFleetChanged(std::move(Fleet));
-}
-
-void FleetClient::sendDueHellos() {
-  for (const fleet::DueHello &Due : m_Peers.dueHellos(SystemClock().now())) {
-    sendHello(Due.m_Ip, Due.m_AsksForPeers);
-  }
-}
-
-void FleetClient::sendHello(const std::string &Ip, bool AsksForPeers) {
-  send({&Ip, 1}, fleet::Hello{.m_Sender = selfInfo(), .m_AsksForPeers = AsksForPeers});
-}
-
-/// Local VMs only: these send to the same servers first.
-void FleetClient::tellServerFailed(ServerId Server) {
-  if (m_FailureThrottle.mayAnnounce(Server, SystemClock().now())) {
-    send(m_Peers.local(), fleet::ServerFailed{.m_Server = Server});
-  }
-}
-
-void FleetClient::announceServerLimit(const kernel::AnnounceServerLimit &Named) {
-  fleet::ServerLimited Message{.m_Server = Named.m_Server, .m_Age = Named.m_Age};
-  if (std::isfinite(Named.m_PerSecond)) {
-    Message.m_PerSecond = Named.m_PerSecond;
-  }
-  send(m_Peers.local(), Message);
-  Message.m_IsForRelay = true;
-  send(m_Peers.drawRelays(), Message);
-}
-
-void FleetClient::send(std::span<const std::string> Ips, const fleet::News &Message) {
-  const auto Datagrams = fleet::packNews(Message, ++m_LastSplitMessage);
-  for (const std::string &Ip : Ips) {
-    for (const std::string &Datagram : Datagrams) {
-      m_DatagramSocket->send(Ip, Datagram);
-    }
-  }
-}
-
 } // namespace vanillahill::net
