--- a/src/net/fleet_client_peers.cpp
+++ b/src/net/fleet_client_peers.cpp
@@ -19,7 +19,7 @@
 
 void FleetClient::handleMessage(std::string_view /*Ip*/, const fleet::PeerList &Message,
                                 TimePoint Now) {
-  // The first ones are asked in turn: they may know further VMs, and may have a catalog.
+  // The first ones get a query as well: they may know further VMs, and may have a catalog.
   constexpr std::size_t AskedAtOnce = 2;
   const std::vector<std::string> Added = m_Peers.learn(Message.m_Groups, Now);
   for (std::size_t Index = 0; Index < Added.size(); ++Index) {
