Lost attempts: log what was asked and how the connection ended

On-call engineers could not tell a request that ends servers from a server that fails: a line has the id of a caller's attempt, which is new each time, and the outcome unknown. attempt_ended now has host and path of a lost attempt, without the query, and the cause closed_unanswered when the connection ended before any byte of a reply.

--- a/include/vanillahill/kernel/decision.hpp
+++ b/include/vanillahill/kernel/decision.hpp
@@ -76,6 +76,8 @@
   std::optional<double> m_LimitShare = std::nullopt;
   /// How an attempt ended, why the request was refused, or where a statement of the server stood.
   std::string_view m_Outcome = {};
+  /// How the connection of an attempt ended whose outcome is not known; empty if it did not end.
+  std::string_view m_Cause = {};
   /// Status code of a server's reply; 0 if there is none.
   std::uint32_t m_Status = 0;
 };
--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -122,6 +122,8 @@
   AttemptResult m_Result = AttemptResult::Unknown;
   /// Set for Completed.
   ReplyPtr m_Reply;
+  /// With Unknown: the connection ended after the request was sent and before any byte of a reply.
+  bool m_ClosedUnanswered = false;
   /// The server declared that it is leaving.
   bool m_ServerLeaving = false;
   /// How long the server wants no request from this VM; zero if it did not say.
--- a/include/vanillahill/net/detail/backend_exchange.hpp
+++ b/include/vanillahill/net/detail/backend_exchange.hpp
@@ -26,6 +26,8 @@
 struct ExchangeEnd {
   kernel::AttemptResult m_Result = kernel::AttemptResult::Unknown;
   ReplyPtr m_Reply = nullptr;
+  /// The connection ended after the request was sent and before any byte of a reply.
+  bool m_ClosedUnanswered = false;
   bool m_ServerLeaving = false;
   /// How long the server wants no request from this VM; zero if it did not say.
   Duration m_PauseFor{};
--- a/include/vanillahill/observe/decision_log.hpp
+++ b/include/vanillahill/observe/decision_log.hpp
@@ -43,6 +43,14 @@
   std::uint32_t m_SampleOneIn = 32;
 };
 
+/// The request that a decision is about; empty for a decision about a server.
+struct LoggedRequest {
+  /// The caller's own id of the request; empty when it gave none.
+  std::string_view m_CallerId = {};
+  std::string_view m_Host = {};
+  std::string_view m_Target = {};
+};
+
 /// Lines over the rate limit are dropped and counted; the next line written has the count. Not
 /// thread safe.
 class DecisionLog {
@@ -53,9 +61,8 @@
   bool isSampled(std::string_view CallerId) const;
 
   /// \brief Writes a decision, or counts it as dropped when over the rate limit.
-  /// \param CallerId the caller's own id of the request; empty for none
   /// \param Version version of the configuration in force
-  void write(const kernel::Decision &Made, std::string_view CallerId, std::uint64_t Version,
+  void write(const kernel::Decision &Made, const LoggedRequest &Logged, std::uint64_t Version,
              TimePoint Now);
 
   /// \brief Lines dropped since the last one written.
--- a/src/kernel/probed/dispatcher_report.cpp
+++ b/src/kernel/probed/dispatcher_report.cpp
@@ -15,6 +15,7 @@
                  .m_Request = Sent.m_Request,
                  .m_Took = Now - Sent.m_Started,
                  .m_Outcome = Sent.m_Cancelled ? "cancelled" : toString(Ended.m_Result),
+                 .m_Cause = Ended.m_ClosedUnanswered ? "closed_unanswered" : "",
                  .m_Status = Ended.m_Reply ? Ended.m_Reply->m_Status : 0};
   if (const BackendView *Backend = findBackend(Sent.m_Server)) {
     addBackendState(Entry, *Backend, Now);
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -268,8 +268,11 @@
 void BackendConnection::failConnection(observe::ReplyFault Fault) {
   if (m_Exchange) {
     reportFault(Fault);
+    const bool HasReplyBytes = m_Reply || m_Reader.isInMessage();
     finishExchange({.m_Result = m_MayHaveBeenSent ? kernel::AttemptResult::Unknown
-                                                  : kernel::AttemptResult::NotSent});
+                                                  : kernel::AttemptResult::NotSent,
+                    .m_ClosedUnanswered =
+                        m_MayHaveBeenSent && !HasReplyBytes && Fault == observe::ReplyFault::Cut});
   }
   close();
 }
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -278,6 +278,7 @@
   m_Post(kernel::AttemptEnded{.m_Attempt = static_cast<AttemptId>(Id),
                               .m_Result = End.m_Result,
                               .m_Reply = std::move(End.m_Reply),
+                              .m_ClosedUnanswered = End.m_ClosedUnanswered,
                               .m_ServerLeaving = End.m_ServerLeaving,
                               .m_PauseFor = End.m_PauseFor,
                               .m_RequestLimit = End.m_RequestLimit,
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -1,5 +1,6 @@
 #include "vanillahill/observe/decision_log.hpp"
 
+#include "vanillahill/kernel/events.hpp"
 #include "vanillahill/observe/log.hpp"
 
 #include <xxhash.h>
@@ -10,6 +11,7 @@
 
 namespace {
 
+using kernel::AttemptResult;
 using kernel::Decision;
 using kernel::DecisionType;
 
@@ -35,6 +37,16 @@
   Fields.push_back({"load_age_us", microsText(Made.m_LoadAge)});
 }
 
+/// Longest target that is written.
+constexpr std::size_t MaxTargetBytes = 160;
+
+/// What the caller asked for, without the query, which may hold personal data.
+std::string targetText(const LoggedRequest &Logged) {
+  std::string Text(Logged.m_Host);
+  Text += Logged.m_Target.substr(0, Logged.m_Target.find('?'));
+  return Text.substr(0, MaxTargetBytes);
+}
+
 std::vector<LogField> fieldsOf(const Decision &Made) {
   std::vector<LogField> Fields;
   if (!Made.m_Server.empty()) {
@@ -65,6 +77,9 @@
   if (!Made.m_Outcome.empty()) {
     Fields.push_back({"outcome", std::string(Made.m_Outcome)});
   }
+  if (!Made.m_Cause.empty()) {
+    Fields.push_back({"cause", std::string(Made.m_Cause)});
+  }
   if (Made.m_Status != 0) {
     Fields.push_back({"status", std::to_string(Made.m_Status)});
   }
@@ -104,10 +119,10 @@
   return false;
 }
 
-void DecisionLog::write(const Decision &Made, std::string_view CallerId, std::uint64_t Version,
+void DecisionLog::write(const Decision &Made, const LoggedRequest &Logged, std::uint64_t Version,
                         TimePoint Now) {
   const bool Important = isImportant(Made);
-  if (!Important && !isSampled(CallerId)) {
+  if (!Important && !isSampled(Logged.m_CallerId)) {
     return;
   }
   if (!(Important ? m_ImportantBudget : m_SampledBudget).tryTakeLine(Now)) {
@@ -115,8 +130,13 @@
     return;
   }
   std::vector<LogField> Fields = fieldsOf(Made);
-  if (!CallerId.empty()) {
-    Fields.insert(Fields.begin(), {"request", std::string(CallerId)});
+  if (!Logged.m_CallerId.empty()) {
+    Fields.insert(Fields.begin(), {"request", std::string(Logged.m_CallerId)});
+  }
+  const bool IsLost = Made.m_Type == DecisionType::AttemptEnded &&
+                      Made.m_Outcome == toString(AttemptResult::Unknown);
+  if (IsLost && !Logged.m_Target.empty()) {
+    Fields.push_back({"target", targetText(Logged)});
   }
   Fields.push_back({"config", std::to_string(Version)});
   if (m_LinesDropped > 0) {
--- a/tests/unit-backend-pool.cpp
+++ b/tests/unit-backend-pool.cpp
@@ -140,7 +140,9 @@
     Site.m_Services[0].m_Servers[0].m_MaxConnections = 1;
     applySettings(Site);
     dispatch(1, std::chrono::milliseconds(200));
-    EXPECT_EQ(awaitAttemptEnded().m_Result, AttemptResult::Unknown);
+    const auto Faulty = awaitAttemptEnded();
+    EXPECT_EQ(Faulty.m_Result, AttemptResult::Unknown);
+    EXPECT_EQ(Faulty.m_ClosedUnanswered, Case.m_Name == std::string_view("no reply"));
     const auto Next = dispatchAndAwait(2);
     EXPECT_EQ(Next.m_Result, AttemptResult::Completed);
     EXPECT_EQ(Next.m_Reply->m_Body, "/desk/post/2");
