Failing test: a request that ends servers is sent on and on

Fleets of 5 to 500 VMs on the paused clock; one request ends each server that begins to run it and comes again 1, 4 or 50 times a second.

--- a/tests/probed_harness.hpp
+++ b/tests/probed_harness.hpp
@@ -50,6 +50,8 @@
   std::size_t m_Cancelled = 0;
   /// Probes that it received.
   std::size_t m_Probed = 0;
+  /// Its process has ended: connections to it are refused.
+  bool m_IsDown = false;
 };
 
 /// An event of the fake servers. Earlier ones come first, at equal times in order of scheduling.
@@ -71,6 +73,13 @@
   std::optional<RequestId> m_Request;
 };
 
+/// A server that ended under a request.
+struct Crash {
+  ServerId m_Server{};
+  TimePoint m_At{};
+  RequestId m_Request{};
+};
+
 /// A reply in which a server asked for a pause.
 struct AskedPause {
   ServerId m_Server{};
@@ -181,10 +190,52 @@
 
   FakeServer &server(std::size_t Index) { return m_Servers.at(serverId(Index)); }
 
+  /// Whether a server that begins to run the request ends after m_CrashAfter.
+  std::function<bool(RequestId)> m_CrashesServer = [](RequestId) { return false; };
+  Duration m_CrashAfter = milliseconds(50);
+  /// A server that has ended starts again after this time, as another incarnation.
+  Duration m_RestartAfter = seconds(3);
+
+  /// A server's process ends: the connections of its requests are closed without a reply.
+  void crash(ServerId Server) {
+    FakeServer &Fake = m_Servers.at(Server);
+    Fake.m_IsDown = true;
+    Fake.m_Running = 0;
+    Fake.m_Queue.clear();
+    std::vector<AttemptId> Lost;
+    for (const auto &[Attempt, Running] : m_Running) {
+      if (Running.m_Server == Server) {
+        Lost.push_back(Attempt);
+      }
+    }
+    for (const AttemptId Attempt : Lost) {
+      endAttempt(Attempt, m_Now, AttemptEnd::Crashed);
+    }
+    schedule(m_RestartAfter, [this, Server](TimePoint) { startAgain(Server); });
+  }
+
+  /// The servers that ended under a request, in order.
+  const std::vector<Crash> &crashes() const { return m_Crashes; }
+
+  /// Whether a server runs, and is no former incarnation.
+  std::vector<ServerId> runningServers() const {
+    std::vector<ServerId> Running;
+    for (const ServerSettings &Listed : m_Settings.m_Servers) {
+      if (!m_Servers.at(Listed.m_Id).m_IsDown) {
+        Running.push_back(Listed.m_Id);
+      }
+    }
+    return Running;
+  }
+
   /// A request arrives at one of the VMs.
-  RequestId arrive(KindId Kind, std::size_t Vm = 0) {
+  RequestId arrive(KindId Kind, std::size_t Vm = 0) { return arrive(Kind, Vm, m_LastRequest + 1); }
+
+  /// \param Content requests with the same content are copies of each other
+  RequestId arrive(KindId Kind, std::size_t Vm, std::uint64_t Content) {
     const RequestId Request{++m_LastRequest};
     m_ArrivedAt[Request] = m_Now;
+    m_Contents[Request] = Content;
     Actions Out;
     m_Dispatchers[Vm]->arrive(Request, Kind, m_Now + m_Deadline, m_Now, Out);
     applyActions(Vm, Out);
@@ -247,6 +298,8 @@
   /// Failures that other VMs were told of.
   std::size_t failureReports() const { return m_FailureReports; }
   TimePoint now() const { return m_Now; }
+  /// What a request asks for; throws for an unknown one.
+  std::uint64_t contentOf(RequestId Request) const { return m_Contents.at(Request); }
   /// When a request arrived; throws for an unknown one.
   TimePoint arrivedAt(RequestId Request) const { return m_ArrivedAt.at(Request); }
   /// When the first VM received the first reply to a request in which a server said that it is
@@ -320,8 +373,11 @@
   Duration m_Deadline = milliseconds(800);
 
 private:
+  enum class AttemptEnd : std::uint8_t { Finished, Cancelled, Crashed, NotSent };
+
   struct RunningAttempt {
     ServerId m_Server{};
+    RequestId m_Request{};
     std::size_t m_Vm = 0;
     /// The VM has restarted since.
     bool m_IsOrphan = false;
@@ -388,9 +444,17 @@
     m_Sent.push_back({.m_Server = Server, .m_At = m_Now, .m_Vm = Vm});
     ++m_Servers.at(Server).m_Probed;
     const FakeServer &Fake = m_Servers.at(Server);
-    const Duration ProbeTime = Fake.m_AnswersProbes ? milliseconds(2) : milliseconds(250);
+    const Duration ProbeTime = Fake.m_IsDown          ? milliseconds(1)
+                               : Fake.m_AnswersProbes ? milliseconds(2)
+                                                      : milliseconds(250);
     schedule(ProbeTime, [this, Vm, Server](TimePoint Now) {
       const FakeServer &Probed = m_Servers.at(Server);
+      if (Probed.m_IsDown) {
+        Actions Out;
+        m_Dispatchers[Vm]->probeEnded({.m_Server = Server}, Now, Out);
+        applyActions(Vm, Out);
+        return;
+      }
       ProbeEnded Ended{.m_Server = Server,
                        .m_Healthy = Probed.m_AnswersProbes,
                        .m_Answered = Probed.m_AnswersProbes,
@@ -417,10 +481,18 @@
 
   void dispatch(std::size_t Vm, const Dispatch &Wanted) {
     FakeServer &Fake = m_Servers.at(Wanted.m_Server);
+    m_Running.emplace(
+        Wanted.m_Attempt,
+        RunningAttempt{.m_Server = Wanted.m_Server, .m_Request = Wanted.m_Request, .m_Vm = Vm});
+    if (Fake.m_IsDown) {
+      schedule(milliseconds(1), [this, Attempt = Wanted.m_Attempt](TimePoint Now) {
+        endAttempt(Attempt, Now, AttemptEnd::NotSent);
+      });
+      return;
+    }
     Fake.m_Received.push_back(Wanted.m_Request);
     m_Sent.push_back(
         {.m_Server = Wanted.m_Server, .m_At = m_Now, .m_Vm = Vm, .m_Request = Wanted.m_Request});
-    m_Running.emplace(Wanted.m_Attempt, RunningAttempt{.m_Server = Wanted.m_Server, .m_Vm = Vm});
     if (Fake.m_Running < Fake.m_Slots) {
       startWork(Fake, Wanted.m_Attempt);
     } else {
@@ -433,17 +505,46 @@
     const bool IsNearlyFull = 4 * Fake.m_Running > 3 * Fake.m_Slots;
     const double Factor = Fake.m_Slowdown * (IsNearlyFull ? Fake.m_NearlyFullFactor : 1.0);
     const auto WorkTime = std::chrono::duration_cast<Duration>(Fake.m_Work * Factor);
-    schedule(WorkTime, [this, Attempt](TimePoint Now) { endAttempt(Attempt, Now, false); });
+    schedule(WorkTime,
+             [this, Attempt](TimePoint Now) { endAttempt(Attempt, Now, AttemptEnd::Finished); });
+    if (m_CrashesServer(m_Running.at(Attempt).m_Request)) {
+      schedule(m_CrashAfter, [this, Attempt](TimePoint Now) {
+        const auto Found = m_Running.find(Attempt);
+        if (Found != m_Running.end()) {
+          m_Crashes.push_back({.m_Server = Found->second.m_Server,
+                               .m_At = Now,
+                               .m_Request = Found->second.m_Request});
+          crash(Found->second.m_Server);
+        }
+      });
+    }
+  }
+
+  void startAgain(ServerId Server) {
+    const auto Listed = std::find_if(m_Settings.m_Servers.begin(), m_Settings.m_Servers.end(),
+                                     [Server](const auto &Each) { return Each.m_Id == Server; });
+    if (Listed == m_Settings.m_Servers.end()) {
+      return;
+    }
+    FakeServer Next;
+    Next.m_Slots = m_Servers.at(Server).m_Slots;
+    Next.m_Work = m_Servers.at(Server).m_Work;
+    const std::size_t Index = m_Servers.size();
+    Listed->m_Id = serverId(Index);
+    Listed->m_Name = "s" + std::to_string(Index);
+    m_Servers.emplace(Listed->m_Id, Next);
+    configure();
   }
 
   void cancel(AttemptId Attempt) {
     const auto Found = m_Running.find(Attempt);
     ASSERT_NE(Found, m_Running.end());
     ++m_Servers.at(Found->second.m_Server).m_Cancelled;
-    schedule(milliseconds(1), [this, Attempt](TimePoint Now) { endAttempt(Attempt, Now, true); });
+    schedule(milliseconds(1),
+             [this, Attempt](TimePoint Now) { endAttempt(Attempt, Now, AttemptEnd::Cancelled); });
   }
 
-  void endAttempt(AttemptId Attempt, TimePoint Now, bool WasCancelled) {
+  void endAttempt(AttemptId Attempt, TimePoint Now, AttemptEnd How) {
     const auto Found = m_Running.find(Attempt);
     if (Found == m_Running.end()) {
       return;
@@ -453,7 +554,7 @@
     const std::size_t Vm = Found->second.m_Vm;
     const bool IsOrphan = Found->second.m_IsOrphan;
     m_Running.erase(Found);
-    if (std::erase(Fake.m_Queue, Attempt) == 0) {
+    if (!Fake.m_IsDown && std::erase(Fake.m_Queue, Attempt) == 0) {
       --Fake.m_Running;
       if (!Fake.m_Queue.empty()) {
         const AttemptId Next = Fake.m_Queue.front();
@@ -465,7 +566,11 @@
       return;
     }
     AttemptEnded Ended{.m_Attempt = Attempt,
-                       .m_Result = WasCancelled ? AttemptResult::Unknown : Fake.m_Result};
+                       .m_Result = How == AttemptEnd::Finished  ? Fake.m_Result
+                                   : How == AttemptEnd::NotSent ? AttemptResult::NotSent
+                                                                : AttemptResult::Unknown,
+                       .m_Reply = nullptr,
+                       .m_ClosedUnanswered = How == AttemptEnd::Crashed};
     if (Ended.m_Result == AttemptResult::Completed) {
       auto FinalReply = std::make_shared<Reply>();
       FinalReply->m_Status = Fake.m_Status;
@@ -513,6 +618,8 @@
   std::map<std::pair<ServerId, std::size_t>, TimePoint> m_LimitToldAt;
   std::vector<Sent> m_Sent;
   std::vector<AskedPause> m_Pauses;
+  std::map<RequestId, std::uint64_t> m_Contents;
+  std::vector<Crash> m_Crashes;
   std::vector<Decision> m_Decisions;
   std::uint64_t m_LastRequest = 0;
   std::uint64_t m_LastOrder = 0;
