--- a/include/vanillahill/fleet/news.hpp
+++ b/include/vanillahill/fleet/news.hpp
@@ -3,6 +3,7 @@
 /// longer ones are compressed and, when still too long, sent in pieces.
 #pragma once
 
+#include "vanillahill/core/crash_report.hpp"
 #include "vanillahill/core/error.hpp"
 #include "vanillahill/core/ids.hpp"
 #include "vanillahill/fleet/follower.hpp"
@@ -72,6 +73,13 @@
   bool m_IsForRelay = false;
 };
 
+/// Servers crashed under a request.
+struct RequestCrashes {
+  CrashReport m_Report;
+  /// The receiver is to pass the message on to the VMs of its own data centre.
+  bool m_IsForRelay = false;
+};
+
 /// The contents of the store as one VM knows them, for a VM that has not read the store or that the
 /// store does not answer. Too long for datagrams: VMs fetch it from each other over HTTP.
 struct Snapshot {
@@ -95,7 +103,8 @@
 };
 
 /// The position in the list is the type in a frame.
-using News = std::variant<Hello, PeerList, StoreNews, ServerFailed, Piece, Snapshot, ServerLimited>;
+using News = std::variant<Hello, PeerList, StoreNews, ServerFailed, Piece, Snapshot, ServerLimited,
+                          RequestCrashes>;
 
 /// \brief Encodes a message into one frame, whatever its size.
 std::string encodeNews(const News &Message);
--- a/include/vanillahill/kernel/decision.hpp
+++ b/include/vanillahill/kernel/decision.hpp
@@ -45,6 +45,8 @@
   ServerPauseEnded,
   /// A server named another limit on its requests, or none any more.
   ServerLimitChanged,
+  /// More servers have crashed under a request than was known, or the request was cleared.
+  CrashReportChanged,
 };
 
 /// \brief The name of a decision as written to logs.
@@ -74,6 +76,10 @@
   std::optional<double> m_RequestLimit = std::nullopt;
   /// Requests per second of these that this VM may send.
   std::optional<double> m_LimitShare = std::nullopt;
+  /// Servers that crashed under a request, the trials of it since, and its RequestContent::m_Hash.
+  std::optional<std::uint32_t> m_Crashes = std::nullopt;
+  std::uint32_t m_Trials = 0;
+  std::uint64_t m_ContentHash = 0;
   /// How an attempt ended, why the request was refused, or where a statement of the server stood.
   std::string_view m_Outcome = {};
   /// How the connection of an attempt ended whose outcome is not known; empty if it did not end.
--- a/include/vanillahill/kernel/dispatcher_base.hpp
+++ b/include/vanillahill/kernel/dispatcher_base.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "vanillahill/kernel/events.hpp"
+#include "vanillahill/kernel/poison_tracker.hpp"
 #include "vanillahill/kernel/policy/slots.hpp"
 #include "vanillahill/kernel/status.hpp"
 #include "vanillahill/settings/settings.hpp"
@@ -36,6 +37,8 @@
   AskBudget m_Asks;
   std::uint64_t m_NextAttempt = 1;
   FleetView m_Fleet;
+  RequestContents m_Contents;
+  PoisonTracker m_Poison;
 };
 
 /// Decides for the requests of one service: which server gets them, and when to wait, refuse, retry
--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -3,6 +3,7 @@
 /// and reads no clock: the present time is passed to each call of Node::handle().
 #pragma once
 
+#include "vanillahill/core/crash_report.hpp"
 #include "vanillahill/core/ids.hpp"
 #include "vanillahill/core/time.hpp"
 #include "vanillahill/kernel/decision.hpp"
@@ -76,6 +77,8 @@
   NotServing,
   /// The caller disconnected before its answer.
   CallerGone,
+  /// Copies of the request were running at servers when these crashed.
+  PoisonRequest,
   /// The path names no service or kind.
   UnknownKind,
 };
@@ -124,6 +127,8 @@
   ReplyPtr m_Reply;
   /// With Unknown: the connection ended after the request was sent and before any byte of a reply.
   bool m_ClosedUnanswered = false;
+  /// With NotSent: the server's machine refused the connection, so no process listens there.
+  bool m_ConnectionRefused = false;
   /// The server declared that it is leaving.
   bool m_ServerLeaving = false;
   /// How long the server wants no request from this VM; zero if it did not say.
@@ -145,6 +150,8 @@
   std::optional<LoadReport> m_Load;
   /// A reply was received, healthy or not.
   bool m_Answered = false;
+  /// The server's machine refused the connection, so no process listens there.
+  bool m_ConnectionRefused = false;
   /// The server declared that it is leaving.
   bool m_ServerLeaving = false;
   /// How long the server wants no request from this VM; zero if it did not say.
@@ -211,6 +218,11 @@
   Duration m_Age{};
 };
 
+/// Another VM announced servers that crashed under a request.
+struct CrashReportReceived {
+  CrashReport m_Report;
+};
+
 /// VMs have joined the fleet or left it.
 struct FleetChanged {
   FleetView m_Fleet;
@@ -229,8 +241,8 @@
 
 using Event =
     std::variant<RequestArrived, CallerGone, AttemptEnded, ProbeEnded, PeerReceived, VmListRead,
-                 LogRead, SettingsRead, ServerFailureHeard, ServerLimitReceived, FleetChanged,
-                 StopRequested, StopOverdue, TimerFired>;
+                 LogRead, SettingsRead, ServerFailureHeard, ServerLimitReceived,
+                 CrashReportReceived, FleetChanged, StopRequested, StopOverdue, TimerFired>;
 
 /// Send the request to a backend server.
 struct Dispatch {
@@ -295,6 +307,11 @@
   Duration m_Age{};
 };
 
+/// Announce to the other VMs the servers that crashed under a request.
+struct AnnounceCrashReport {
+  CrashReport m_Report;
+};
+
 /// The linger time after StopRequested is over: new requests are no longer accepted. Idle
 /// connections are closed; otherwise a caller could send a request on one that cannot end in time.
 struct StopAccepting {};
@@ -304,7 +321,7 @@
 
 using Action = std::variant<Dispatch, CancelAttempt, Answer, SendPeer, ConnectPeers, AppendLog,
                             Probe, SettingsChanged, TellServerFailure, AnnounceServerLimit,
-                            Decision, StopAccepting, Stopped>;
+                            AnnounceCrashReport, Decision, StopAccepting, Stopped>;
 using Actions = std::vector<Action>;
 
 } // namespace vanillahill::kernel
--- a/include/vanillahill/kernel/fleet_view.hpp
+++ b/include/vanillahill/kernel/fleet_view.hpp
@@ -5,6 +5,7 @@
 #include "vanillahill/core/ids.hpp"
 #include "vanillahill/core/time.hpp"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -22,4 +23,12 @@
   TimePoint m_ChangedAt = TimePoint::min();
 };
 
+/// \brief Whether a view has VMs of this data centre that an earlier one lacks.
+inline bool hasNewVms(const FleetView &Previous, const FleetView &Next) {
+  return std::any_of(Next.m_Local.begin(), Next.m_Local.end(), [&Previous](VmId Vm) {
+    const auto &Known = Previous.m_Local;
+    return std::find(Known.begin(), Known.end(), Vm) == Known.end();
+  });
+}
+
 } // namespace vanillahill::kernel
--- a/include/vanillahill/kernel/node.hpp
+++ b/include/vanillahill/kernel/node.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "vanillahill/kernel/events.hpp"
+#include "vanillahill/kernel/poison_tracker.hpp"
 #include "vanillahill/kernel/status.hpp"
 #include "vanillahill/settings/settings.hpp"
 
@@ -27,6 +28,8 @@
   /// How long new requests are still accepted after a stop is requested, because the balancer that
   /// sends them learns with a delay that the VM is leaving.
   Duration m_DrainLinger = std::chrono::seconds(1);
+  /// If empty, requests that crash servers are not found.
+  RequestContents m_Contents = {};
 };
 
 /// Makes the decisions of one VM. Not thread safe: the owner calls it under one lock or from one
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "vanillahill/kernel/probed/request.hpp"
 #include "vanillahill/kernel/probed/retry_budget.hpp"
 
+#include <map>
 #include <unordered_map>
 
 namespace vanillahill::kernel::probed {
@@ -98,6 +99,19 @@
   void finishRequest(Request &Pending, Actions &Out);
   void checkInvariants() const;
 
+  // Requests that crash servers.
+  std::optional<RequestContent> trackedContent(RequestId Request) const;
+  bool isHeldBack(const Request &Pending, TimePoint Now) const;
+  bool refuseIfHeldBack(Request &Pending, TimePoint Now, Actions &Out);
+  void announceIfTrial(const Request &Pending, TimePoint Now, Actions &Out);
+  void noteLostRequest(const Attempt &Sent, TimePoint Now, Actions &Out);
+  void noteCompletion(const Attempt &Sent, TimePoint Now, Actions &Out);
+  void checkServer(ServerId Server, TimePoint Now, Actions &Out);
+  void noteServerAlive(ServerId Server) { m_Unconfirmed.erase(Server); }
+  void noteServerCrashed(ServerId Server, TimePoint Now, Actions &Out);
+  void appendCrashReport(const CrashReport &Report, ServerId Server, std::string_view Source,
+                         TimePoint Now, Actions &Out);
+
   // Decisions for logs.
   void appendAttemptEnd(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now,
                         Actions &Out);
@@ -105,6 +119,13 @@
   static void addBackendState(Decision &Entry, const BackendView &Backend, TimePoint Now);
   void addFailure(BackendView &Backend, double Weight, TimePoint Now, Actions &Out);
 
+  /// Requests that were lost at a server of which it is not yet known whether it crashed.
+  struct LostRequests {
+    std::vector<RequestContent> m_Contents;
+    /// Probes that have shown nothing.
+    std::uint32_t m_Checks = 0;
+  };
+
   DispatcherContext &m_Context;
   ServiceSettings m_Settings;
   std::vector<BackendView> m_Backends;
@@ -114,6 +135,7 @@
   std::unordered_map<AttemptId, Attempt> m_Attempts;
   /// Requests with a search in progress.
   std::vector<RequestId> m_SearchingRequests;
+  std::map<ServerId, LostRequests> m_Unconfirmed;
   RequestTimers m_Timers;
   RetryBudget m_RetryBudget;
   ProbeBudget m_ProbeBudget;
--- a/include/vanillahill/kernel/status.hpp
+++ b/include/vanillahill/kernel/status.hpp
@@ -104,6 +104,8 @@
   std::uint64_t m_Queued = 0;
   std::uint64_t m_Keys = 0;
   std::uint64_t m_PeerMessagesSent = 0;
+  /// Requests that are suspected of crashing servers, or blocked for it.
+  std::uint64_t m_PoisonRequests = 0;
 };
 
 } // namespace vanillahill::kernel
--- a/include/vanillahill/net/detail/backend_connection.hpp
+++ b/include/vanillahill/net/detail/backend_connection.hpp
@@ -28,6 +28,9 @@
 
   ServerId server() const { return m_Server; }
 
+  /// \brief Whether the server's machine refused the connection.
+  bool wasRefused() const { return m_WasRefused; }
+
   /// \brief Time until which an idle connection may be reused; valid while it is idle.
   TimePoint usableUntil() const { return m_UsableUntil; }
 
@@ -65,6 +68,7 @@
   /// The complete reply, if it arrives while the request is still being written.
   std::optional<HttpReply> m_Reply;
   bool m_IsConnecting = false;
+  bool m_WasRefused = false;
   bool m_IsClosed = false;
   bool m_IsWritten = false;
   /// The connection is closed after the running exchange: a reply or bytes were discarded, or the
--- a/include/vanillahill/net/detail/backend_exchange.hpp
+++ b/include/vanillahill/net/detail/backend_exchange.hpp
@@ -28,6 +28,8 @@
   ReplyPtr m_Reply = nullptr;
   /// The connection ended after the request was sent and before any byte of a reply.
   bool m_ClosedUnanswered = false;
+  /// The server's machine refused the connection.
+  bool m_ConnectionRefused = false;
   bool m_ServerLeaving = false;
   /// How long the server wants no request from this VM; zero if it did not say.
   Duration m_PauseFor{};
--- a/include/vanillahill/net/detail/backend_pool.hpp
+++ b/include/vanillahill/net/detail/backend_pool.hpp
@@ -94,6 +94,8 @@
     std::vector<std::pair<BackendConnectionPtr, std::shared_ptr<const BackendExchange>>> m_ToSend;
     std::vector<BackendConnectionPtr> m_ToClose;
     std::vector<std::uint64_t> m_NotSentIds;
+    /// Exchanges whose connection was refused.
+    std::vector<std::uint64_t> m_RefusedIds;
   };
 
   void startExchange(BackendExchange NewExchange);
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -67,6 +67,8 @@
   std::function<void(ServerId)> m_OnServerFailed;
   /// Called when another VM announced the limit of a backend server.
   std::function<void(const kernel::ServerLimitReceived &)> m_OnServerLimit;
+  /// Called when another VM announced servers that crashed under a request.
+  std::function<void(const CrashReport &)> m_OnCrashReport;
   /// Called when VMs have joined the fleet or left it.
   std::function<void(kernel::FleetView)> m_OnFleetChanged;
   /// Fetches the snapshot of the VM with the given IP.
@@ -93,6 +95,9 @@
   /// \brief Announces to all other VMs the limit that a backend server named.
   void announceServerLimit(const kernel::AnnounceServerLimit &Named);
 
+  /// \brief Announces to all other VMs the servers that crashed under a request.
+  void announceCrashReport(const CrashReport &Report);
+
   /// \brief The contents of the store as this VM knows them, for another VM.
   /// \return a frame with a fleet::Snapshot, empty when this VM does not know the wanted records
   std::string snapshotFrame(const fleet::SnapshotRequest &Wanted);
@@ -134,6 +139,7 @@
   void handleMessage(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::ServerFailed &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::ServerLimited &Message, TimePoint Now);
+  void handleMessage(std::string_view Ip, const fleet::RequestCrashes &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::Piece &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::Snapshot &Message, TimePoint Now);
   void relay(fleet::StoreNews Message, TimePoint AskedAt, TimePoint Now);
@@ -154,6 +160,8 @@
   void sendDueHellos();
   void sendHello(const std::string &Ip, bool AsksForPeers);
   void send(std::span<const std::string> Ips, const fleet::News &Message);
+  template <typename Message> void sendToAll(Message Sent);
+  template <typename Message> void passOnIfRelay(const Message &Received);
 
   StoreAccess m_Store;
   std::shared_ptr<Datagrams> m_DatagramSocket;
--- a/src/fleet/news.cpp
+++ b/src/fleet/news.cpp
@@ -153,6 +153,17 @@
                       toMicros(Message.m_Age), Message.m_IsForRelay});
 }
 
+Json encodeBody(const RequestCrashes &Message) {
+  const CrashReport &Report = Message.m_Report;
+  Json Crashes = Json::array();
+  for (const ServerCrash &Each : Report.m_Crashes) {
+    Crashes.push_back(Json::array({raw(Each.m_Server), toMicros(Each.m_Age)}));
+  }
+  return Json::array({Report.m_Content.m_Hash, Report.m_Content.m_Digest[0],
+                      Report.m_Content.m_Digest[1], Report.m_Generation, Report.m_Trials,
+                      std::move(Crashes), Message.m_IsForRelay});
+}
+
 Json encodeBody(const Piece &Message) {
   return Json::array(
       {Message.m_MessageNumber, Message.m_Index, Message.m_Count, encodeBytes(Message.m_Bytes)});
@@ -200,6 +211,25 @@
   return Message;
 }
 
+RequestCrashes decodeRequestCrashes(const Json &Fields) {
+  RequestCrashes Message{.m_IsForRelay = Fields.at(6).get<bool>()};
+  CrashReport &Report = Message.m_Report;
+  Report.m_Content = {
+      .m_Hash = Fields.at(0).get<std::uint64_t>(),
+      .m_Digest = {Fields.at(1).get<std::uint64_t>(), Fields.at(2).get<std::uint64_t>()}};
+  Report.m_Generation = Fields.at(3).get<std::uint32_t>();
+  Report.m_Trials = Fields.at(4).get<std::uint32_t>();
+  const Json &Crashes = Fields.at(5);
+  if (Crashes.size() > CrashReport::MaxCrashes) {
+    throw std::invalid_argument("report of " + std::to_string(Crashes.size()) + " crashes");
+  }
+  for (const Json &Each : Crashes) {
+    Report.m_Crashes.push_back(
+        {.m_Server = ServerId{Each.at(0).get<std::uint32_t>()}, .m_Age = decodeAge(Each.at(1))});
+  }
+  return Message;
+}
+
 PeerList decodePeerList(const Json &Fields) {
   PeerList Message{.m_Sender = decodeInfo(Fields.at(0))};
   for (const Json &Group : Fields.at(1)) {
@@ -234,6 +264,8 @@
                     .m_Servers = decodeRecords(Fields.at(5))};
   case 6:
     return decodeServerLimited(Fields);
+  case 7:
+    return decodeRequestCrashes(Fields);
   default:
     throw std::invalid_argument("unknown type " + std::to_string(Type));
   }
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -57,6 +57,8 @@
                          .m_DataCenter = m_Options.m_DataCenter,
                          .m_Local = {m_Context.m_Self}};
     m_Context.m_Random.seed(m_Options.m_Seed);
+    m_Context.m_Contents = m_Options.m_Contents;
+    m_Context.m_Poison = PoisonTracker(m_Options.m_Seed);
   }
 
   Reason mayDispatch(RequestId Request, TimePoint Now) override {
@@ -350,7 +352,29 @@
     }
   }
 
-  void onEvent(const FleetChanged &Input, TimePoint Now, Actions & /*Out*/) {
+  void onEvent(const CrashReportReceived &Input, TimePoint Now, Actions &Out) {
+    const CrashReport &Report = Input.m_Report;
+    const auto Merged = m_Context.m_Poison.receive(Report, m_Context.m_Fleet.m_Local.size(), Now);
+    if (Merged.m_IsChanged) {
+      const std::size_t Crashes = m_Context.m_Poison.crashes(Report.m_Content);
+      Out.push_back(Decision{.m_Type = DecisionType::CrashReportChanged,
+                             .m_Crashes = static_cast<std::uint32_t>(Crashes),
+                             .m_Trials = Report.m_Trials,
+                             .m_ContentHash = Report.m_Content.m_Hash,
+                             .m_Outcome = "vm"});
+    }
+    if (Merged.m_Answer) {
+      Out.push_back(AnnounceCrashReport{*Merged.m_Answer});
+    }
+  }
+
+  void onEvent(const FleetChanged &Input, TimePoint Now, Actions &Out) {
+    if (hasNewVms(m_Context.m_Fleet, Input.m_Fleet)) {
+      for (const CrashReport &Report :
+           m_Context.m_Poison.reportsForNewVm(Input.m_Fleet.m_Local.size(), Now)) {
+        Out.push_back(AnnounceCrashReport{Report});
+      }
+    }
     m_Context.m_Fleet = Input.m_Fleet;
     m_Context.m_Fleet.m_ChangedAt = Now;
     for (auto &[Id, Dispatcher] : m_Dispatchers) {
@@ -493,7 +517,8 @@
                       .m_Versions = m_Replica.versions(),
                       .m_Members = m_Members.status(Now),
                       .m_Keys = m_KeyGuard.size(),
-                      .m_PeerMessagesSent = m_PeerMessagesSent};
+                      .m_PeerMessagesSent = m_PeerMessagesSent,
+                      .m_PoisonRequests = m_Context.m_Poison.suspects()};
     for (const auto &[Id, Dispatcher] : m_Dispatchers) {
       Dispatcher->appendStatus(Now, Status);
     }
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -129,6 +129,9 @@
           .emplace(Id,
                    Request{.m_Id = Id, .m_Kind = *Index, .m_Arrived = Now, .m_Deadline = Deadline})
           .first->second;
+  if (refuseIfHeldBack(Added, Now, Out)) {
+    return;
+  }
   m_Timers.push({.m_At = Deadline, .m_Type = RequestTimerType::Deadline, .m_Request = Id});
   startSearch(Added, SearchPurpose::FirstAttempt, Now, Out);
   checkInvariants();
@@ -295,6 +298,9 @@
 }
 
 void Dispatcher::placeRequest(Request &Pending, BackendIndex Index, TimePoint Now, Actions &Out) {
+  if (refuseIfHeldBack(Pending, Now, Out)) {
+    return;
+  }
   const bool IsFirst = Pending.m_Purpose == SearchPurpose::FirstAttempt;
   const Kind &RequestKind = m_Kinds[Pending.m_Kind];
   if (!RequestKind.m_Settings.m_Idempotent && m_Context.m_Gate != nullptr) {
@@ -332,6 +338,7 @@
   Out.push_back(std::move(Entry));
   Backend.countSentRequest();
   Backend.m_Fitness.limit().countRequest(Now);
+  announceIfTrial(Pending, Now, Out);
   m_Attempts.emplace(Sent.m_Id, Sent);
   Pending.m_Running.push_back(Sent.m_Id);
   Pending.m_Tried.push_back(Sent.m_Server);
@@ -370,8 +377,11 @@
       std::min<std::size_t>(RequestKind.m_Settings.m_MaxAttempts, MaxAttemptsPerRequest);
   // First attempts have priority for probes: with few left, hedges would leave them fewer servers
   // to choose from.
-  if (Pending.m_Running.size() != 1 || Pending.m_Search || !HasAttemptsLeft ||
-      !m_RetryBudget.hasToken() || !m_ProbeBudget.allowsMoreRounds(Now)) {
+  // A request that may have crashed a server is not sent to two at a time.
+  const auto Tracked = trackedContent(Pending.m_Id);
+  if ((Tracked && m_Context.m_Poison.crashes(*Tracked) > 0) || Pending.m_Running.size() != 1 ||
+      Pending.m_Search || !HasAttemptsLeft || !m_RetryBudget.hasToken() ||
+      !m_ProbeBudget.allowsMoreRounds(Now)) {
     return;
   }
   startSearch(Pending, SearchPurpose::Hedge, Now, Out);
@@ -381,7 +391,7 @@
                                    TimePoint Now, Actions &Out) {
   // The running attempt may have failed during the search.
   if (Pending.m_Running.empty()) {
-    if (Best && m_RetryBudget.tryTakeToken()) {
+    if (Best && !isHeldBack(Pending, Now) && m_RetryBudget.tryTakeToken()) {
       sendAttempt(Pending, Best->m_Backend, Now, Out);
     } else {
       giveUpRequest(Pending, Now, Out);
@@ -430,6 +440,13 @@
                 "request", Now, Out);
   }
   updateBackend(Sent, Ended, Now, Out);
+  if (Ended.m_ClosedUnanswered && !Sent.m_Cancelled) {
+    noteLostRequest(Sent, Now, Out);
+  } else if (Ended.m_ConnectionRefused) {
+    noteServerCrashed(Sent.m_Server, Now, Out);
+  } else if (Ended.m_Result == AttemptResult::Completed) {
+    noteCompletion(Sent, Now, Out);
+  }
   if (Sent.m_IsAdditional && Ended.m_Result == AttemptResult::NotSent) {
     m_RetryBudget.returnToken();
   }
@@ -569,7 +586,8 @@
     return false;
   }
   const bool HasTime = Now + toDuration(RequestKind.m_Work.usualSeconds()) < Pending.m_Deadline;
-  if (!HasTime || !hasUsableBackend(m_Backends, criteriaOf(Pending, Now), Now) ||
+  if (!HasTime || isHeldBack(Pending, Now) ||
+      !hasUsableBackend(m_Backends, criteriaOf(Pending, Now), Now) ||
       (IsCharged && !m_RetryBudget.tryTakeToken())) {
     return false;
   }
@@ -617,6 +635,7 @@
                 "probe", Now, Out);
   }
   if (Backend == nullptr) {
+    m_Unconfirmed.erase(Ended.m_Server);
     return;
   }
   if (Backend->m_ProbeSince) {
@@ -641,6 +660,13 @@
     addFailure(*Backend, UnhealthyProbeWeight, Now, Out);
   }
   advanceSearches(Now, Out);
+  if (Ended.m_ConnectionRefused) {
+    noteServerCrashed(Ended.m_Server, Now, Out);
+  } else if (Ended.m_Answered) {
+    noteServerAlive(Ended.m_Server);
+  } else {
+    checkServer(Ended.m_Server, Now, Out);
+  }
   checkInvariants();
 }
 
--- a/src/kernel/reasons.cpp
+++ b/src/kernel/reasons.cpp
@@ -42,6 +42,8 @@
     return "not_serving";
   case Reason::CallerGone:
     return "caller_gone";
+  case Reason::PoisonRequest:
+    return "poison_request";
   case Reason::UnknownKind:
     return "unknown_kind";
   }
@@ -86,6 +88,8 @@
     return "server_pause_ended";
   case DecisionType::ServerLimitChanged:
     return "server_limit_changed";
+  case DecisionType::CrashReportChanged:
+    return "crash_report_changed";
   }
   return "unknown";
 }
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -54,6 +54,7 @@
   }
   m_ConnectTimer.cancel();
   if (Failure) {
+    m_WasRefused = Failure == asio::error::connection_refused;
     observe::logFault("backend_connect_failed", {Errc::BackendConnectFailed, "connect",
                                                  toText(m_Endpoint), Failure.message()});
     close();
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -239,7 +239,8 @@
       --Target.m_ConnectingCount;
       m_Metrics.countConnectionFailed();
       if (Target.m_Waiting.size() > Target.m_ConnectingCount) {
-        Actions.m_NotSentIds.push_back(Target.m_Waiting.front());
+        (Connection->wasRefused() ? Actions.m_RefusedIds : Actions.m_NotSentIds)
+            .push_back(Target.m_Waiting.front());
         Target.m_Waiting.pop_front();
       }
     }
@@ -268,6 +269,7 @@
                               .m_Healthy = IsHealthy,
                               .m_Load = End.m_Load,
                               .m_Answered = End.m_Answered,
+                              .m_ConnectionRefused = End.m_ConnectionRefused,
                               .m_ServerLeaving = End.m_ServerLeaving,
                               .m_PauseFor = End.m_PauseFor,
                               .m_RequestLimit = End.m_RequestLimit,
@@ -279,6 +281,7 @@
                               .m_Result = End.m_Result,
                               .m_Reply = std::move(End.m_Reply),
                               .m_ClosedUnanswered = End.m_ClosedUnanswered,
+                              .m_ConnectionRefused = End.m_ConnectionRefused,
                               .m_ServerLeaving = End.m_ServerLeaving,
                               .m_PauseFor = End.m_PauseFor,
                               .m_RequestLimit = End.m_RequestLimit,
@@ -339,6 +342,9 @@
   for (const auto Id : Actions.m_NotSentIds) {
     finishExchange(Id, {.m_Result = kernel::AttemptResult::NotSent});
   }
+  for (const auto Id : Actions.m_RefusedIds) {
+    finishExchange(Id, {.m_Result = kernel::AttemptResult::NotSent, .m_ConnectionRefused = true});
+  }
 }
 
 std::size_t BackendPool::connectionCount() const {
--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -61,6 +61,10 @@
   void carryOut(kernel::AnnounceServerLimit & /*Step*/) {
     // Servers name limits only where VMs announce them to each other by datagrams.
   }
+  void carryOut(kernel::AnnounceCrashReport & /*Step*/) {
+    // Requests that crash servers are found only where VMs announce them to each other by
+    // datagrams.
+  }
   void carryOut(kernel::TellServerFailure & /*Step*/) {
     // The heartbeats between VMs already report server failures.
   }
--- a/src/net/fleet_client_peers.cpp
+++ b/src/net/fleet_client_peers.cpp
@@ -35,11 +35,7 @@
 
 void FleetClient::handleMessage(std::string_view /*Ip*/, const fleet::ServerLimited &Message,
                                 TimePoint /*Now*/) {
-  if (Message.m_IsForRelay) {
-    fleet::ServerLimited Relayed = Message;
-    Relayed.m_IsForRelay = false;
-    send(m_Peers.local(), Relayed);
-  }
+  passOnIfRelay(Message);
   if (m_Options.m_OnServerLimit) {
     m_Options.m_OnServerLimit({.m_Server = Message.m_Server,
                                .m_PerSecond = Message.m_PerSecond.value_or(kernel::NoRequestLimit),
@@ -47,6 +43,14 @@
   }
 }
 
+void FleetClient::handleMessage(std::string_view /*Ip*/, const fleet::RequestCrashes &Message,
+                                TimePoint /*Now*/) {
+  passOnIfRelay(Message);
+  if (m_Options.m_OnCrashReport) {
+    m_Options.m_OnCrashReport(Message.m_Report);
+  }
+}
+
 void FleetClient::handleMessage(std::string_view Ip, const fleet::Piece &Message,
                                 TimePoint /*Now*/) {
   if (const auto Frame = m_Pieces.take(Ip, Message)) {
@@ -116,9 +120,27 @@
   if (std::isfinite(Named.m_PerSecond)) {
     Message.m_PerSecond = Named.m_PerSecond;
   }
-  send(m_Peers.local(), Message);
-  Message.m_IsForRelay = true;
-  send(m_Peers.drawRelays(), Message);
+  sendToAll(Message);
+}
+
+void FleetClient::announceCrashReport(const CrashReport &Report) {
+  sendToAll(fleet::RequestCrashes{.m_Report = Report});
+}
+
+/// Sends a message to the local VMs, and to the relays of each other data centre.
+template <typename Message> void FleetClient::sendToAll(Message Sent) {
+  Sent.m_IsForRelay = false;
+  send(m_Peers.local(), Sent);
+  Sent.m_IsForRelay = true;
+  send(m_Peers.drawRelays(), Sent);
+}
+
+template <typename Message> void FleetClient::passOnIfRelay(const Message &Received) {
+  if (Received.m_IsForRelay) {
+    Message Relayed = Received;
+    Relayed.m_IsForRelay = false;
+    send(m_Peers.local(), Relayed);
+  }
 }
 
 void FleetClient::send(std::span<const std::string> Ips, const fleet::News &Message) {
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -5,6 +5,8 @@
 
 #include <xxhash.h>
 
+#include <array>
+#include <charconv>
 #include <cmath>
 
 namespace vanillahill::observe {
@@ -26,6 +28,13 @@
   return std::to_string(Rounded / 100) + (Digits.size() < 2 ? ".0" : ".") + Digits;
 }
 
+std::string toHex(std::uint64_t Value) {
+  constexpr int Base = 16;
+  std::array<char, 2 * sizeof(Value)> Digits{};
+  const auto End = std::to_chars(Digits.begin(), Digits.end(), Value, Base).ptr;
+  return {Digits.begin(), End};
+}
+
 void addLoad(std::vector<LogField> &Fields, const Decision &Made) {
   if (!Made.m_Load) {
     return;
@@ -68,6 +77,11 @@
   if (Made.m_LimitShare) {
     Fields.push_back({"share_per_s", toTwoDecimals(*Made.m_LimitShare)});
   }
+  if (Made.m_Crashes) {
+    Fields.push_back({"content", toHex(Made.m_ContentHash)});
+    Fields.push_back({"crashes", std::to_string(*Made.m_Crashes)});
+    Fields.push_back({"trials", std::to_string(Made.m_Trials)});
+  }
   if (Made.m_Took > Duration::zero()) {
     Fields.push_back({"took_us", microsText(Made.m_Took)});
   }
@@ -107,6 +121,7 @@
   case DecisionType::ServerPaused:
   case DecisionType::ServerPauseEnded:
   case DecisionType::ServerLimitChanged:
+  case DecisionType::CrashReportChanged:
     return true;
   case DecisionType::AttemptEnded:
     return Made.m_Outcome != "completed" && Made.m_Outcome != "cancelled";
@@ -135,7 +150,8 @@
   }
   const bool IsLost = Made.m_Type == DecisionType::AttemptEnded &&
                       Made.m_Outcome == toString(AttemptResult::Unknown);
-  if (IsLost && !Logged.m_Target.empty()) {
+  const bool IsPoison = Made.m_Outcome == toString(kernel::Reason::PoisonRequest);
+  if ((IsLost || IsPoison) && !Logged.m_Target.empty()) {
     Fields.push_back({"target", targetText(Logged)});
   }
   Fields.push_back({"config", std::to_string(Version)});
--- a/src/observe/status_metrics.cpp
+++ b/src/observe/status_metrics.cpp
@@ -227,6 +227,8 @@
                static_cast<double>(Status.m_Queued), Out);
   appendSingle("vanillahill_idempotency_keys", "Idempotency keys kept", MetricType::Gauge,
                static_cast<double>(Status.m_Keys), Out);
+  appendSingle("vanillahill_poison_requests", "Requests held back as servers crashed under them",
+               MetricType::Gauge, static_cast<double>(Status.m_PoisonRequests), Out);
   appendSingle("vanillahill_peer_messages_total", "Messages sent to other VMs", MetricType::Counter,
                static_cast<double>(Status.m_PeerMessagesSent), Out);
 }
--- a/tests/probed_harness.hpp
+++ b/tests/probed_harness.hpp
@@ -127,6 +127,15 @@
       Context.m_DataCenter = dataCenterOf(Vm);
       Context.m_Fleet = fleetOf(Vm, Vms);
       Context.m_Random.seed(20261203 + Vm);
+      Context.m_Poison = PoisonTracker(20261204 + Vm);
+      Context.m_Contents = {
+          .m_Hash = [this](RequestId Request) { return hashOf(Request); },
+          .m_Content = [this](RequestId Request) -> std::optional<RequestContent> {
+            ++m_DigestsMade;
+            const auto Hash = hashOf(Request);
+            return Hash ? std::optional(RequestContent{.m_Hash = *Hash, .m_Digest = {*Hash, 1}})
+                        : std::nullopt;
+          }};
       constexpr std::uint64_t AttemptsPerVm = 1'000'000;
       Context.m_NextAttempt = 1 + Vm * AttemptsPerVm;
       m_Dispatchers.push_back(std::make_unique<Dispatcher>(
@@ -167,7 +176,14 @@
   /// A VM learns that VMs have joined or left.
   void changeFleet(std::size_t Vm, FleetView Fleet) {
     Fleet.m_ChangedAt = m_Now;
-    m_Contexts[Vm].m_Fleet = std::move(Fleet);
+    DispatcherContext &Context = m_Contexts[Vm];
+    if (hasNewVms(Context.m_Fleet, Fleet)) {
+      for (const CrashReport &Report :
+           Context.m_Poison.reportsForNewVm(Fleet.m_Local.size(), m_Now)) {
+        announceCrashReport(Vm, Report);
+      }
+    }
+    Context.m_Fleet = std::move(Fleet);
     m_Dispatchers[Vm]->fleetChanged(m_Now);
   }
 
@@ -178,6 +194,7 @@
       Running.m_IsOrphan = Running.m_IsOrphan || Running.m_Vm == Vm;
     }
     std::erase_if(m_LimitToldAt, [Vm](const auto &Told) { return Told.first.second == Vm; });
+    m_Contexts[Vm].m_Poison = PoisonTracker(++m_LastRequest);
     m_Dispatchers[Vm] = std::make_unique<Dispatcher>(
         DispatcherOptions{.m_Settings = m_Settings, .m_Now = m_Now}, m_Contexts[Vm]);
     changeFleet(Vm, std::move(Fleet));
@@ -369,6 +386,10 @@
   std::map<ServerId, FakeServer> m_Servers;
   /// Announcements of limits that were sent.
   std::size_t m_LimitAnnouncements = 0;
+  /// Announcements of servers that crashed under requests.
+  std::size_t m_CrashAnnouncements = 0;
+  /// Digests of requests that were computed.
+  std::size_t m_DigestsMade = 0;
   /// Time that each request has from its arrival.
   Duration m_Deadline = milliseconds(800);
 
@@ -423,12 +444,34 @@
                                                Now, Out);
           applyActions(Other, Out);
         });
+      } else if (const auto *Crashed = std::get_if<AnnounceCrashReport>(&Item)) {
+        announceCrashReport(Vm, Crashed->m_Report);
       } else if (const auto *Made = std::get_if<Decision>(&Item)) {
         m_Decisions.push_back(*Made);
       }
     }
   }
 
+  std::optional<std::uint64_t> hashOf(RequestId Request) const {
+    const auto Found = m_Contents.find(Request);
+    const bool IsOpen = Found != m_Contents.end() && !m_Answers.contains(Request);
+    return IsOpen ? std::optional(Found->second) : std::nullopt;
+  }
+
+  void announceCrashReport(std::size_t Vm, const CrashReport &Report) {
+    ++m_CrashAnnouncements;
+    tellOthers(Vm, [this, Vm, Report](std::size_t Other, TimePoint Now) {
+      if (!m_IsAnnounced(Vm, Other)) {
+        return;
+      }
+      DispatcherContext &Context = m_Contexts[Other];
+      const auto Merged = Context.m_Poison.receive(Report, Context.m_Fleet.m_Local.size(), Now);
+      if (Merged.m_Answer) {
+        announceCrashReport(Other, *Merged.m_Answer);
+      }
+    });
+  }
+
   template <typename Call> void tellOthers(std::size_t Vm, Call Told) {
     schedule(milliseconds(1), [this, Vm, Told](TimePoint Now) {
       for (std::size_t Other = 0; Other < m_Dispatchers.size(); ++Other) {
@@ -451,7 +494,7 @@
       const FakeServer &Probed = m_Servers.at(Server);
       if (Probed.m_IsDown) {
         Actions Out;
-        m_Dispatchers[Vm]->probeEnded({.m_Server = Server}, Now, Out);
+        m_Dispatchers[Vm]->probeEnded({.m_Server = Server, .m_ConnectionRefused = true}, Now, Out);
         applyActions(Vm, Out);
         return;
       }
@@ -570,7 +613,8 @@
                                    : How == AttemptEnd::NotSent ? AttemptResult::NotSent
                                                                 : AttemptResult::Unknown,
                        .m_Reply = nullptr,
-                       .m_ClosedUnanswered = How == AttemptEnd::Crashed};
+                       .m_ClosedUnanswered = How == AttemptEnd::Crashed,
+                       .m_ConnectionRefused = How == AttemptEnd::NotSent};
     if (Ended.m_Result == AttemptResult::Completed) {
       auto FinalReply = std::make_shared<Reply>();
       FinalReply->m_Status = Fake.m_Status;
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -78,6 +78,16 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    async def crash_under(self, request):
+        """The process ends: its address refuses connections until another one starts there."""
+        if self in self.testbed.servers:
+            self.testbed.servers.remove(self)
+            self.testbed.history.crashes.append((request.target, self.testbed.clock()))
+            self.testbed.crashed.append(self)
+            self.testbed.proxies.pop(self.address_index).close()
+            await self.crash()
+        return False
+
     async def leave(self, silently):
         """Registers as draining, or only removes its record, and serves until after the bound."""
         history = self.testbed.history
@@ -134,6 +144,9 @@
         async with self.free_slots:
             self.waiting -= 1
             attempt.executed = True
+            if request.target == self.testbed.crashing_target:
+                await asyncio.sleep(self.work_s / 2)
+                return await self.crash_under(request)
             self.running += 1
             try:
                 await asyncio.sleep(self.work_s * (6 if fault == "slow" else 1))
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -48,15 +48,19 @@
             self.reader = self.writer = None
         return self.writer is not None
 
-    async def send_request(self, route):
-        """Sends one request and records the result; returns seconds to wait before the next."""
+    async def send_request(self, route, target=None):
+        """Sends one request and records the result; returns seconds to wait before the next.
+
+        With a target, the request is a copy of all others with that target.
+        """
         if self.writer is None and not await self.connect():
             return 0.1
         random = self.testbed.random
-        body = random.randbytes(random.choice((0, 0, 30, 3000))) if not route.safe else b""
+        has_body = target is None and not route.safe
+        body = random.randbytes(random.choice((0, 0, 30, 3000))) if has_body else b""
         request = SentRequest(id=f"q{next(self.numbers)}", vm=self.vm.name, route=route.name,
                               method="GET" if route.safe else "POST",
-                              target=f"{route.prefix}{random.randint(1, 99)}?x=1",
+                              target=target or f"{route.prefix}{random.randint(1, 99)}?x=1",
                               body=digest(body),
                               safe=route.safe, max_attempts=route.max_attempts,
                               time_left=route.deadline_s, at=self.testbed.clock(),
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -22,6 +22,9 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SPARE_REQUESTS = 5
 LIMIT_REACTION_S = 0.5
+# Crashes after which a request counts as the cause, and how often it may be sent after that.
+CRASHES_TO_BLAME = 3
+MAX_SENT_AFTER_CRASHES = 3
 
 
 class Checker:
@@ -52,6 +55,7 @@
         self.check_announced_leaving()
         self.check_turned_away()
         self.check_limits()
+        self.check_crashing_requests()
         self.check_cut_connections()
         self.check_retry_budget()
         self.check_process_ends()
@@ -296,6 +300,28 @@
                                                 f"allowed {allowed:.1f}")
                     break
 
+    def check_crashing_requests(self):
+        """A request that has crashed three servers is hardly sent any more."""
+        crashes = collections.defaultdict(list)
+        for target, at in self.history.crashes:
+            crashes[target].append(at)
+        for target, times in crashes.items():
+            if len(times) < CRASHES_TO_BLAME:
+                continue
+            begin = sorted(times)[CRASHES_TO_BLAME - 1] + self.bounds["stability_window"]
+            late = [attempt for attempt in self.history.ran
+                    if attempt.target == target and attempt.at > begin
+                    and self.sent_by_running_vm(attempt)]
+            self.judged["crashing request"] += 1
+            if len(late) > MAX_SENT_AFTER_CRASHES:
+                self.add_violation("BUDGET", f"{target} crashed {len(times)} servers, was sent "
+                                             f"{len(late)} times more")
+
+    def sent_by_running_vm(self, attempt):
+        request = self.requests_by_id.get(attempt.id)
+        return request is not None and self.was_running(
+            request.vm, attempt.at - self.bounds["stability_window"], attempt.at)
+
     @staticmethod
     def limited_requests(named, begin):
         """How many requests the limits of a server allow in the window."""
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -96,6 +96,8 @@
     ran: list = dataclasses.field(default_factory=list)
     # Disturbances of VMs and servers by name; the name of the store is "store".
     spans: list = dataclasses.field(default_factory=list)
+    # (target of the request that crashed a server, at)
+    crashes: list = dataclasses.field(default_factory=list)
     # (server, time at which the store acknowledged that it leaves)
     leaving: list = dataclasses.field(default_factory=list)
     # (server, time, requests per second that it names from then on, or None)
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from callers import Caller
 from history import Outage, SlowLink
 from routes import Route
 
@@ -152,6 +153,33 @@
         await asyncio.sleep(testbed.random.uniform(0.5, 3.0))
 
 
+async def crash_servers(faults, limit):
+    """A request that crashes each server that runs it comes again and again, at any VM."""
+    testbed = faults.testbed
+    restarts = set()
+
+    async def start_again(server):
+        await asyncio.sleep(testbed.random.uniform(1.0, 3.0))
+        await testbed.add_server(server.service, server.address_index)
+
+    async def send_copy(route, target):
+        caller = Caller(testbed)
+        if await caller.connect():
+            await caller.send_request(route, target)
+        caller.close_connection()
+
+    route = testbed.routes[testbed.random.choice(("look", "post"))]
+    testbed.crashing_target = target = f"{route.prefix}crash?x=1"
+    period_s = testbed.random.choice((0.05, 0.3, 1.0))
+    copies = set()
+    while time.monotonic() < limit:
+        copies.add(asyncio.create_task(send_copy(route, target)))
+        await asyncio.sleep(testbed.random.expovariate(1 / period_s))
+        while testbed.crashed:
+            restarts.add(asyncio.create_task(start_again(testbed.crashed.pop())))
+    await asyncio.wait(copies | restarts)
+
+
 @dataclasses.dataclass(frozen=True)
 class Scenario:
     play: typing.Callable
@@ -165,5 +193,7 @@
     "leaving-header": Scenario(leave_unheard, ("join", "settings_change")),
     "server-limit": Scenario(limit_requests, ("kill", "pause", "planned_stop", "join", "leave",
                                               "settings_change")),
+    "crashing-request": Scenario(crash_servers, ("kill", "pause", "planned_stop", "join", "leave",
+                                                 "settings_change")),
     "retry-after": Scenario(turn_away, ("join", "leave", "settings_change")),
 }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -130,6 +130,9 @@
         self.store = Store(self.clock)
         self.ended = False
         self.announces_leaving = False
+        # A request with this target crashes the server that runs it.
+        self.crashing_target = None
+        self.crashed = []
         self.routes = {"look": Route("look", "desk", True, 1.5),
                        "post": Route("post", "desk", False, 2.0),
                        "list": Route("list", "view", True, 2.5),
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -283,6 +283,26 @@
         self.assertEqual(set(), self.limited([14 + 0.3 * n for n in range(12)], [(9.0, 1.0)],
                                              spans=[Span("vm-0", 13.0, 14.0)]))
 
+    def crashing(self, times, **changes):
+        """A request crashes servers at 10, 11 and 12 s; its copies reach servers at the times."""
+        requests = [request(id=f"r{number}", answer_id="", at=at, ended=at + 0.1, status=502,
+                            signature="", target="/x", safe=True, **changes.get("others", {}))
+                    for number, at in enumerate(times)]
+        attempts = [attempt(id=f"r{number}", at=at, signature="", target="/x")
+                    for number, at in enumerate(times)]
+        return self.violated_rules(requests, attempts, spans=changes.get("spans", []),
+                                   crashes=[("/x", at) for at in (10.0, 11.0, 12.0)])
+
+    def test_four_copies_of_a_request_that_crashed_three_servers(self):
+        self.assertEqual({"BUDGET"}, self.crashing([15.1, 16, 17, 18]))
+
+    def test_three_copies_of_a_request_that_crashed_three_servers(self):
+        self.assertEqual(set(), self.crashing([14.9, 15.1, 16, 17]))
+
+    def test_copies_of_a_crashing_request_from_a_vm_that_has_just_started(self):
+        self.assertEqual(set(), self.crashing([15.1, 16, 17, 18],
+                                              spans=[Span("vm-0 process", 12.0, 15.5)]))
+
     def test_leaving_server_after_the_bound(self):
         self.expect_violation("DRAIN", [request()], [attempt()], leaving=[("i-1", 17.0)])
 
--- a/tests/unit-backend-pool.cpp
+++ b/tests/unit-backend-pool.cpp
@@ -151,6 +151,20 @@
   }
 }
 
+TEST_F(PoolTest, AServerWhoseProcessIsGoneIsToldFromOneThatIsSilent) {
+  std::uint16_t Port = 0;
+  {
+    Backend Gone(echoPath);
+    Port = Gone.port();
+  }
+  applySettings(deskSettings({Port}));
+  const auto End = dispatchAndAwait(1);
+  EXPECT_EQ(End.m_Result, AttemptResult::NotSent);
+  EXPECT_TRUE(End.m_ConnectionRefused);
+  m_Pool->probe(FirstServer);
+  EXPECT_TRUE(m_Inbox.next<kernel::ProbeEnded>().m_ConnectionRefused);
+}
+
 /// Bytes that are no reply may come until the connection is closed.
 TEST_F(PoolTest, AReplyWithoutEndFailsAtItsLimitLongBeforeTheDeadline) {
   constexpr std::size_t BeyondHeadLimit = 64U << 10U;
--- a/tests/unit-crash-requests.cpp
+++ b/tests/unit-crash-requests.cpp
@@ -14,6 +14,9 @@
 /// Content of the request that ends the servers.
 constexpr std::uint64_t CrashContent = 1ULL << 40U;
 
+/// Content that many ordinary requests have.
+constexpr std::uint64_t PopularContent = CrashContent + 1;
+
 struct CrashFleetOptions {
   std::size_t m_Vms = 20;
   std::size_t m_DataCenters = 4;
@@ -59,7 +62,10 @@
       } else {
         const KindId Kind =
             ++m_Arrivals % 3 == 0 ? DispatcherHarness::Post : DispatcherHarness::Look;
-        m_Ordinary.push_back(m_Service.arrive(Kind, drawVm()));
+        const bool IsPopular = std::bernoulli_distribution(m_PopularShare)(m_Random);
+        const std::size_t Vm = drawVm();
+        m_Ordinary.push_back(IsPopular ? m_Service.arrive(Kind, Vm, PopularContent)
+                                       : m_Service.arrive(Kind, Vm));
       }
     }
   }
@@ -90,7 +96,45 @@
     return static_cast<double>(Served) / static_cast<double>(Arrived);
   }
 
+  /// Ordinary requests that were refused as if they crashed servers.
+  std::size_t blamedRequests() {
+    return static_cast<std::size_t>(
+        std::count_if(m_Ordinary.begin(), m_Ordinary.end(), [this](RequestId Request) {
+          return m_Service.isAnswered(Request) &&
+                 m_Service.answerOf(Request).m_Reason == Reason::PoisonRequest;
+        }));
+  }
+
+  /// A VM's process is killed and starts again; the others of its data centre learn of it.
+  void restart(std::size_t Vm) {
+    const FleetView All = m_Service.fleetOf(Vm, m_Options.m_Vms);
+    FleetView Alone = All;
+    Alone.m_Local = {All.m_Self};
+    m_Service.restart(Vm, Alone);
+    for (std::size_t Other = 0; Other < m_Options.m_Vms; ++Other) {
+      if (Other == Vm || m_Service.dataCenterOf(Other) != m_Service.dataCenterOf(Vm)) {
+        continue;
+      }
+      FleetView Without = m_Service.fleetOf(Other, m_Options.m_Vms);
+      std::erase(Without.m_Local, All.m_Self);
+      m_Service.changeFleet(Other, std::move(Without));
+      m_Service.changeFleet(Other, m_Service.fleetOf(Other, m_Options.m_Vms));
+    }
+    m_Service.changeFleet(Vm, All);
+  }
+
+  /// Share of the announcements that are lost.
+  void loseAnnouncements(double Share) {
+    m_Service.m_IsAnnounced = [this, Share](std::size_t, std::size_t) {
+      return !std::bernoulli_distribution(Share)(m_Random);
+    };
+  }
+
+  /// Share of the ordinary requests that ask for the same.
+  double m_PopularShare = 0.0;
+
   DispatcherHarness &service() { return m_Service; }
+  std::size_t vms() const { return m_Options.m_Vms; }
 
 private:
   static void raiseBudgets(ServiceSettings &Settings) { Settings.m_Policy.m_ProbesPerSecond = 1e6; }
@@ -153,5 +197,95 @@
   }
 }
 
+TEST(CrashRequests, VmsThatRestartDoNotSendABlockedRequestAnew) {
+  for (const FleetSize &Size : FleetSizes) {
+    CrashFleet Fleet(optionsOf(Size));
+    Fleet.loseAnnouncements(0.05);
+    Fleet.run(seconds(8));
+    for (std::size_t Vm = 0; Vm < std::min<std::size_t>(Fleet.vms(), 60); ++Vm) {
+      Fleet.restart(Vm);
+      Fleet.run(milliseconds(300));
+    }
+    EXPECT_LE(Fleet.lateSendings(), AllowedSendings) << Size.m_Vms << " VMs";
+  }
+}
+
+TEST(CrashRequests, ARequestThatComesRarelyEndsFewServersOverHours) {
+  CrashFleetOptions Options = optionsOf(FleetSizes[1]);
+  Options.m_PerSecond = 2.0;
+  Options.m_CrashingPerSecond = 0.02;
+  for (const KindId Kind : {DispatcherHarness::Look, DispatcherHarness::Post}) {
+    Options.m_CrashingKind = Kind;
+    CrashFleet Fleet(Options);
+    Fleet.run(std::chrono::hours(3));
+    EXPECT_LE(Fleet.lateSendings(), AllowedSendings) << "kind " << raw(Kind);
+    EXPECT_GE(Fleet.service().crashes().size(), 3U);
+  }
+}
+
+TEST(CrashRequests, ARequestIsServedAgainOnceItNoLongerEndsServers) {
+  CrashFleet Fleet(optionsOf(FleetSizes[1]));
+  Fleet.run(seconds(10));
+  ASSERT_GE(Fleet.service().crashes().size(), 3U);
+  Fleet.service().m_CrashesServer = [](RequestId) { return false; };
+  Fleet.run(2 * PoisonTracker::FirstTrialPause + seconds(2));
+  const RequestId Copy = Fleet.service().arrive(DispatcherHarness::Look, 0, CrashContent);
+  Fleet.run(seconds(1));
+  EXPECT_EQ(Fleet.service().answerOf(Copy).m_Outcome, Outcome::Completed);
+}
+
+TEST(CrashRequests, ARefusalIsANotRunAnswerAtOnce) {
+  CrashFleet Fleet(optionsOf(FleetSizes[1]));
+  Fleet.run(seconds(10));
+  const RequestId Copy = Fleet.service().arrive(DispatcherHarness::Post, 3, CrashContent);
+  ASSERT_TRUE(Fleet.service().isAnswered(Copy));
+  EXPECT_EQ(Fleet.service().answerOf(Copy).m_Reason, Reason::PoisonRequest);
+  EXPECT_EQ(Fleet.service().answerOf(Copy).m_Outcome, Outcome::NotRun);
+}
+
+/// Servers crash in series, for reasons of their own.
+TEST(CrashRequests, RequestsAreNotBlamedForServersThatCrashOnTheirOwn) {
+  for (const FleetSize &Size : FleetSizes) {
+    for (const double Popular : {0.0, 0.2}) {
+      CrashFleetOptions Options = optionsOf(Size);
+      Options.m_CrashingPerSecond = 0.0;
+      CrashFleet Fleet(Options);
+      Fleet.m_PopularShare = Popular;
+      Fleet.run(seconds(3));
+      for (std::size_t Count = 0; Count < 2 * Size.m_Servers / 5; ++Count) {
+        Fleet.service().crash(Fleet.service().runningServers().front());
+        Fleet.run(milliseconds(150));
+      }
+      Fleet.run(seconds(10));
+      // All at once.
+      for (const ServerId Server : Fleet.service().runningServers()) {
+        Fleet.service().crash(Server);
+      }
+      Fleet.run(seconds(10));
+      EXPECT_EQ(Fleet.blamedRequests(), 0U) << Size.m_Vms << " VMs, popular " << Popular;
+      EXPECT_GE(Fleet.servedShare(Fleet.service().now() - seconds(5)), 0.98);
+    }
+  }
+}
+
+TEST(CrashRequests, RequestsThatRanBesideAreHardlyBlamed) {
+  for (const FleetSize &Size : FleetSizes) {
+    CrashFleet Fleet(optionsOf(Size));
+    Fleet.m_PopularShare = 0.2;
+    Fleet.run(seconds(20));
+    const double Blamed = static_cast<double>(Fleet.blamedRequests());
+    EXPECT_LE(Blamed, 0.001 * Size.m_PerSecond * 20.0) << Size.m_Vms << " VMs";
+  }
+}
+
+TEST(CrashRequests, WithoutACrashNoDigestIsMade) {
+  CrashFleetOptions Options = optionsOf(FleetSizes[1]);
+  Options.m_CrashingPerSecond = 0.0;
+  CrashFleet Fleet(Options);
+  Fleet.run(seconds(5));
+  EXPECT_EQ(Fleet.service().m_DigestsMade, 0U);
+  EXPECT_EQ(Fleet.service().m_CrashAnnouncements, 0U);
+}
+
 } // namespace
 } // namespace vanillahill::kernel::probed
--- a/tests/unit-fleet-client.cpp
+++ b/tests/unit-fleet-client.cpp
@@ -110,6 +110,8 @@
                 [this, Ip](const kernel::ServerLimitReceived &Announced) {
                   m_Limits[Ip].push_back(Announced);
                 },
+            .m_OnCrashReport =
+                [this, Ip](const CrashReport &Report) { m_CrashReports[Ip].push_back(Report); },
             .m_OnFleetChanged = [this,
                                  Ip](kernel::FleetView Fleet) { m_Fleets[Ip] = std::move(Fleet); },
             .m_FetchSnapshot =
@@ -152,6 +154,7 @@
   int m_Fetches = 0;
   /// Announcements of limits that each VM received, and the VMs that it knows.
   std::map<std::string, std::vector<kernel::ServerLimitReceived>> m_Limits;
+  std::map<std::string, std::vector<CrashReport>> m_CrashReports;
   std::map<std::string, kernel::FleetView> m_Fleets;
 };
 
@@ -339,6 +342,19 @@
   EXPECT_EQ(m_Limits["127.0.0.4"][0].m_PerSecond, kernel::NoRequestLimit);
 }
 
+TEST_F(FleetClientTwoDataCenters, EachVmLearnsOfCrashesThatOneVmSaw) {
+  startAll();
+  CrashReport Report{.m_Content = {.m_Hash = 1, .m_Digest = {2, 3}}};
+  Report.m_Crashes.push_back({.m_Server = ServerId{7}});
+  m_Reader->announceCrashReport(Report);
+  runUntil([&] { return m_CrashReports.size() == m_Others.size(); });
+  EXPECT_FALSE(m_CrashReports.contains("127.0.0.1"));
+  for (const auto &[Ip, Received] : m_CrashReports) {
+    EXPECT_EQ(Received[0].m_Content, Report.m_Content);
+    EXPECT_EQ(Received[0].m_Crashes[0].m_Server, ServerId{7});
+  }
+}
+
 TEST_F(FleetClientTwoDataCenters, TheVmsOfADataCenterKnowEachOther) {
   startAll();
   const auto Knows = [this](const std::string &Ip, std::size_t Local) {
--- a/tests/unit-news.cpp
+++ b/tests/unit-news.cpp
@@ -86,6 +86,33 @@
   EXPECT_EQ(Whole.m_Servers.size(), 1U);
 }
 
+TEST(News, AReportOfCrashesArrivesWhole) {
+  CrashReport Report{
+      .m_Content = {.m_Hash = 1, .m_Digest = {2, UINT64_MAX}}, .m_Generation = 3, .m_Trials = 1};
+  Report.m_Crashes.push_back({.m_Server = ServerId{7}, .m_Age = milliseconds(90)});
+  Report.m_Crashes.push_back({.m_Server = ServerId{8}});
+  const RequestCrashes Received =
+      roundTrip(RequestCrashes{.m_Report = Report, .m_IsForRelay = true});
+  EXPECT_TRUE(Received.m_IsForRelay);
+  EXPECT_EQ(Received.m_Report.m_Content, Report.m_Content);
+  EXPECT_EQ(Received.m_Report.m_Generation, 3U);
+  EXPECT_EQ(Received.m_Report.m_Trials, 1U);
+  ASSERT_EQ(Received.m_Report.m_Crashes.size(), 2U);
+  EXPECT_EQ(Received.m_Report.m_Crashes[0].m_Server, ServerId{7});
+  EXPECT_EQ(Received.m_Report.m_Crashes[0].m_Age, milliseconds(90));
+}
+
+RC_GTEST_PROP(News, ACorruptedReportOfCrashesGivesAMessageOrAnError,
+              (std::uint16_t At, char Byte)) {
+  CrashReport Report{.m_Content = {.m_Hash = 1, .m_Digest = {2, 3}}};
+  for (std::uint32_t Server = 0; Server < CrashReport::MaxCrashes; ++Server) {
+    Report.m_Crashes.push_back({.m_Server = ServerId{Server}, .m_Age = milliseconds(Server)});
+  }
+  std::string Datagram = encodeNews(RequestCrashes{.m_Report = Report});
+  Datagram[At % Datagram.size()] = Byte;
+  decodeNews(Datagram);
+}
+
 TEST(News, ALimitThatIsNoNumberOfRequestsIsRefused) {
   for (const double Limit :
        {-1.0, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN()}) {
--- /dev/null
+++ b/tests/unit-poison-tracker.cpp
@@ -0,0 +1,110 @@
+#include "vanillahill/kernel/poison_tracker.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanillahill::kernel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr RequestContent Content{.m_Hash = 1, .m_Digest = {2, 3}};
+
+class PoisonTrackerTest : public testing::Test {
+protected:
+  /// Servers crash one second apart.
+  void crash(std::uint32_t Count) {
+    for (std::uint32_t Server = 0; Server < Count; ++Server) {
+      m_Now += seconds(1);
+      m_Last = m_Tracker.recordCrash(Content, ServerId{++m_LastServer}, m_Now);
+    }
+  }
+
+  PoisonTracker m_Tracker{1};
+  TimePoint m_Now = TimePoint{} + std::chrono::hours(1);
+  std::optional<CrashReport> m_Last;
+  std::uint32_t m_LastServer = 0;
+};
+
+TEST_F(PoisonTrackerTest, OneCrashBlocksNothing) {
+  crash(1);
+  EXPECT_EQ(m_Tracker.blockedFor(Content, m_Now), Duration::zero());
+}
+
+TEST_F(PoisonTrackerTest, ServersThatCrashAtTheSameMomentCountOnce) {
+  for (std::uint32_t Server = 0; Server < 20; ++Server) {
+    m_Tracker.recordCrash(Content, ServerId{Server}, m_Now + milliseconds(Server));
+  }
+  EXPECT_EQ(m_Tracker.crashes(Content), 1U);
+}
+
+TEST_F(PoisonTrackerTest, ASuspectIsSentAgainAfterAPauseAndABlockedRequestAfterALongerOne) {
+  crash(2);
+  EXPECT_GE(m_Tracker.blockedFor(Content, m_Now), PoisonTracker::RetestPause);
+  EXPECT_LE(m_Tracker.blockedFor(Content, m_Now),
+            PoisonTracker::RetestPause + PoisonTracker::RetestSpread);
+  crash(1);
+  EXPECT_GE(m_Tracker.blockedFor(Content, m_Now), PoisonTracker::FirstTrialPause);
+}
+
+TEST_F(PoisonTrackerTest, TrialsAreFewAndEachIsAnnounced) {
+  crash(3);
+  for (std::uint32_t Trial = 1; Trial <= PoisonTracker::MaxTrials; ++Trial) {
+    m_Now += m_Tracker.blockedFor(Content, m_Now);
+    const auto Announced = m_Tracker.recordSending(Content, m_Now);
+    ASSERT_TRUE(Announced);
+    EXPECT_EQ(Announced->m_Trials, Trial);
+    crash(1);
+  }
+  EXPECT_EQ(m_Tracker.blockedFor(Content, m_Now), Duration::max());
+}
+
+TEST_F(PoisonTrackerTest, ACompletionClearsTheRequestAlsoWhereItIsKnownLate) {
+  crash(3);
+  PoisonTracker Other(2);
+  Other.receive(*m_Last, 1, m_Now);
+  const auto Cleared = m_Tracker.recordCompletion(Content, m_Now);
+  ASSERT_TRUE(Cleared);
+  // A report from before that arrives last changes nothing.
+  m_Tracker.receive(*m_Last, 1, m_Now);
+  Other.receive(*Cleared, 1, m_Now);
+  Other.receive(*m_Last, 1, m_Now);
+  EXPECT_EQ(m_Tracker.crashes(Content), 0U);
+  EXPECT_EQ(Other.crashes(Content), 0U);
+}
+
+TEST_F(PoisonTrackerTest, ReportsOfSeveralVmsAddUpInAnyOrder) {
+  PoisonTracker First(2);
+  PoisonTracker Second(3);
+  auto FromFirst = First.recordCrash(Content, ServerId{1}, m_Now);
+  const auto FromSecond = Second.recordCrash(Content, ServerId{2}, m_Now + seconds(1));
+  m_Now += seconds(1);
+  FromFirst->m_Crashes[0].m_Age = seconds(1);
+  Second.receive(*FromFirst, 1, m_Now);
+  Second.receive(*FromFirst, 1, m_Now);
+  First.receive(*FromSecond, 1, m_Now);
+  EXPECT_EQ(First.crashes(Content), 2U);
+  EXPECT_EQ(Second.crashes(Content), 2U);
+}
+
+TEST_F(PoisonTrackerTest, AVmThatKnowsLessIsTold) {
+  crash(3);
+  PoisonTracker Started(2);
+  const auto Known = Started.recordCrash(Content, ServerId{99}, m_Now + seconds(1));
+  const auto Answer = m_Tracker.receive(*Known, 1, m_Now + seconds(1)).m_Answer;
+  ASSERT_TRUE(Answer);
+  Started.receive(*Answer, 1, m_Now + seconds(1));
+  EXPECT_EQ(Started.crashes(Content), 4U);
+}
+
+TEST_F(PoisonTrackerTest, ManyCrashingRequestsDoNotPushOutABlockedOne) {
+  crash(3);
+  for (std::uint64_t Other = 0; Other < 2 * PoisonTracker::MaxRequests; ++Other) {
+    m_Tracker.recordCrash({.m_Hash = Other, .m_Digest = {Other, 9}}, ServerId{1}, m_Now);
+  }
+  EXPECT_LE(m_Tracker.size(), PoisonTracker::MaxRequests);
+  EXPECT_EQ(m_Tracker.crashes(Content), 3U);
+}
+
+} // namespace
+} // namespace vanillahill::kernel
