VMs log when no server answers them

A VM that is cut off from all servers logged each silence as the failure of one server, as it logs a failing service. servers_unreachable says that four or more servers of any service have not answered and none has for 200 ms, servers_reachable that one has again. Nothing else follows from it yet.

--- a/include/vanillahill/kernel/decision.hpp
+++ b/include/vanillahill/kernel/decision.hpp
@@ -47,6 +47,10 @@
   ServerLimitChanged,
   /// More servers have crashed under a request than was known, or the request was cleared.
   CrashReportChanged,
+  /// No server answers this VM any more.
+  ServersUnreachable,
+  /// A server has answered this VM again.
+  ServersReachable,
 };
 
 /// \brief The name of a decision as written to logs.
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -99,6 +99,10 @@
   void finishRequest(Request &Pending, Actions &Out);
   void checkInvariants() const;
 
+  // Whether servers are reached at all.
+  void noteReply(TimePoint Now, Actions &Out);
+  void noteSilence(ServerId Server, TimePoint Now, Actions &Out);
+
   // Requests that crash servers.
   std::optional<RequestContent> trackedContent(RequestId Request) const;
   bool isHeldBack(const Request &Pending, TimePoint Now) const;
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -91,6 +91,11 @@
     for (const ServiceSettings &Service : m_Settings->m_Services) {
       configureService(Service, Now);
     }
+    std::size_t Servers = 0;
+    for (const ServiceSettings &Service : m_Settings->m_Services) {
+      Servers += Service.m_Servers.size();
+    }
+    m_Context.m_Reach.setServerCount(Servers);
     for (const auto &[Id, Dispatcher] : m_Dispatchers) {
       markDispatcherChanged(Id);
     }
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -440,6 +440,11 @@
                 "request", Now, Out);
   }
   updateBackend(Sent, Ended, Now, Out);
+  if (Ended.m_Result == AttemptResult::Completed || Ended.m_Result == AttemptResult::NotRun) {
+    noteReply(Now, Out);
+  } else if (!Sent.m_Cancelled) {
+    noteSilence(Sent.m_Server, Now, Out);
+  }
   if (Ended.m_ClosedUnanswered && !Sent.m_Cancelled) {
     noteLostRequest(Sent, Now, Out);
   } else if (Ended.m_ConnectionRefused) {
@@ -622,6 +627,11 @@
 
 void Dispatcher::probeEnded(const ProbeEnded &Ended, TimePoint Now, Actions &Out) {
   BackendView *Backend = findBackend(Ended.m_Server);
+  if (Ended.m_Answered) {
+    noteReply(Now, Out);
+  } else if (Backend != nullptr) {
+    noteSilence(Ended.m_Server, Now, Out);
+  }
   const bool IsTimed = Backend != nullptr && Backend->m_ProbeSince;
   const Duration Age = IsTimed ? Now - *Backend->m_ProbeSince : Duration{};
   if (Ended.m_ServerLeaving) {
--- a/src/kernel/reasons.cpp
+++ b/src/kernel/reasons.cpp
@@ -90,6 +90,10 @@
     return "server_limit_changed";
   case DecisionType::CrashReportChanged:
     return "crash_report_changed";
+  case DecisionType::ServersUnreachable:
+    return "servers_unreachable";
+  case DecisionType::ServersReachable:
+    return "servers_reachable";
   }
   return "unknown";
 }
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -122,6 +122,8 @@
   case DecisionType::ServerPauseEnded:
   case DecisionType::ServerLimitChanged:
   case DecisionType::CrashReportChanged:
+  case DecisionType::ServersUnreachable:
+  case DecisionType::ServersReachable:
     return true;
   case DecisionType::AttemptEnded:
     return Made.m_Outcome != "completed" && Made.m_Outcome != "cancelled";
