Failing test: VMs without links to servers serve hardly any request

Fleets of 5 to 500 VMs on the paused clock, links that hang or refuse; one VM, a third, three fifths, all but one and a whole data centre cut off. From 3 s after the begin on they serve 0 of 56 to 0 of 12791 requests; the others serve theirs.

--- a/tests/probed_harness.hpp
+++ b/tests/probed_harness.hpp
@@ -73,6 +73,15 @@
   std::optional<RequestId> m_Request;
 };
 
+/// How the links of a VM to all servers fail.
+enum class Cut : std::uint8_t {
+  None,
+  /// Nothing arrives; connections hang.
+  Hangs,
+  /// Open connections are reset, new ones are refused.
+  Refuses,
+};
+
 /// A server that ended under a request.
 struct Crash {
   ServerId m_Server{};
@@ -231,6 +240,27 @@
     schedule(m_RestartAfter, [this, Server](TimePoint) { startAgain(Server); });
   }
 
+  /// Cuts a VM off from all servers, or ends that.
+  void cutOff(std::size_t Vm, Cut How) {
+    m_Cuts[Vm] = How;
+    if (How != Cut::Refuses) {
+      return;
+    }
+    std::vector<AttemptId> Lost;
+    for (const auto &[Attempt, Running] : m_Running) {
+      if (Running.m_Vm == Vm) {
+        Lost.push_back(Attempt);
+      }
+    }
+    for (const AttemptId Attempt : Lost) {
+      endAttempt(Attempt, m_Now, AttemptEnd::Crashed);
+    }
+  }
+  Cut cutOf(std::size_t Vm) const {
+    const auto Found = m_Cuts.find(Vm);
+    return Found == m_Cuts.end() ? Cut::None : Found->second;
+  }
+
   /// The servers that ended under a request, in order.
   const std::vector<Crash> &crashes() const { return m_Crashes; }
 
@@ -394,7 +424,7 @@
   Duration m_Deadline = milliseconds(800);
 
 private:
-  enum class AttemptEnd : std::uint8_t { Finished, Cancelled, Crashed, NotSent };
+  enum class AttemptEnd : std::uint8_t { Finished, Cancelled, Crashed, NotSent, Lost };
 
   struct RunningAttempt {
     ServerId m_Server{};
@@ -402,6 +432,8 @@
     std::size_t m_Vm = 0;
     /// The VM has restarted since.
     bool m_IsOrphan = false;
+    /// The server has got it.
+    bool m_IsAtServer = false;
   };
 
   /// To be called after each call of a VM's dispatcher.
@@ -487,14 +519,17 @@
     m_Sent.push_back({.m_Server = Server, .m_At = m_Now, .m_Vm = Vm});
     ++m_Servers.at(Server).m_Probed;
     const FakeServer &Fake = m_Servers.at(Server);
-    const Duration ProbeTime = Fake.m_IsDown          ? milliseconds(1)
-                               : Fake.m_AnswersProbes ? milliseconds(2)
-                                                      : milliseconds(250);
-    schedule(ProbeTime, [this, Vm, Server](TimePoint Now) {
+    const Cut Links = cutOf(Vm);
+    const bool IsRefused = Links == Cut::Refuses || (Links == Cut::None && Fake.m_IsDown);
+    const Duration ProbeTime = IsRefused                                    ? milliseconds(1)
+                               : Fake.m_AnswersProbes && Links == Cut::None ? milliseconds(2)
+                                                                            : milliseconds(250);
+    schedule(ProbeTime, [this, Vm, Server, Links, IsRefused](TimePoint Now) {
       const FakeServer &Probed = m_Servers.at(Server);
-      if (Probed.m_IsDown) {
+      if (IsRefused || Links == Cut::Hangs) {
         Actions Out;
-        m_Dispatchers[Vm]->probeEnded({.m_Server = Server, .m_ConnectionRefused = true}, Now, Out);
+        m_Dispatchers[Vm]->probeEnded({.m_Server = Server, .m_ConnectionRefused = IsRefused}, Now,
+                                      Out);
         applyActions(Vm, Out);
         return;
       }
@@ -527,12 +562,23 @@
     m_Running.emplace(
         Wanted.m_Attempt,
         RunningAttempt{.m_Server = Wanted.m_Server, .m_Request = Wanted.m_Request, .m_Vm = Vm});
-    if (Fake.m_IsDown) {
+    const Cut Links = cutOf(Vm);
+    if (Links == Cut::Hangs) {
+      // Every second one waits for a new connection, the others are sent on one that hangs.
+      const bool IsSent = raw(Wanted.m_Attempt) % 2 == 0;
+      const Duration Wait = IsSent ? Wanted.m_Deadline - m_Now + milliseconds(30) : seconds(1);
+      schedule(Wait, [this, Attempt = Wanted.m_Attempt, IsSent](TimePoint Now) {
+        endAttempt(Attempt, Now, IsSent ? AttemptEnd::Lost : AttemptEnd::NotSent);
+      });
+      return;
+    }
+    if (Fake.m_IsDown || Links == Cut::Refuses) {
       schedule(milliseconds(1), [this, Attempt = Wanted.m_Attempt](TimePoint Now) {
         endAttempt(Attempt, Now, AttemptEnd::NotSent);
       });
       return;
     }
+    m_Running.at(Wanted.m_Attempt).m_IsAtServer = true;
     Fake.m_Received.push_back(Wanted.m_Request);
     m_Sent.push_back(
         {.m_Server = Wanted.m_Server, .m_At = m_Now, .m_Vm = Vm, .m_Request = Wanted.m_Request});
@@ -548,8 +594,17 @@
     const bool IsNearlyFull = 4 * Fake.m_Running > 3 * Fake.m_Slots;
     const double Factor = Fake.m_Slowdown * (IsNearlyFull ? Fake.m_NearlyFullFactor : 1.0);
     const auto WorkTime = std::chrono::duration_cast<Duration>(Fake.m_Work * Factor);
-    schedule(WorkTime,
-             [this, Attempt](TimePoint Now) { endAttempt(Attempt, Now, AttemptEnd::Finished); });
+    schedule(WorkTime, [this, Attempt](TimePoint Now) {
+      const auto Found = m_Running.find(Attempt);
+      if (Found != m_Running.end() && cutOf(Found->second.m_Vm) == Cut::Hangs) {
+        // The reply does not arrive.
+        schedule(m_Deadline, [this, Attempt](TimePoint Later) {
+          endAttempt(Attempt, Later, AttemptEnd::Lost);
+        });
+        return;
+      }
+      endAttempt(Attempt, Now, AttemptEnd::Finished);
+    });
     if (m_CrashesServer(m_Running.at(Attempt).m_Request)) {
       schedule(m_CrashAfter, [this, Attempt](TimePoint Now) {
         const auto Found = m_Running.find(Attempt);
@@ -596,8 +651,9 @@
     FakeServer &Fake = m_Servers.at(Server);
     const std::size_t Vm = Found->second.m_Vm;
     const bool IsOrphan = Found->second.m_IsOrphan;
+    const bool IsAtServer = Found->second.m_IsAtServer;
     m_Running.erase(Found);
-    if (!Fake.m_IsDown && std::erase(Fake.m_Queue, Attempt) == 0) {
+    if (IsAtServer && !Fake.m_IsDown && std::erase(Fake.m_Queue, Attempt) == 0) {
       --Fake.m_Running;
       if (!Fake.m_Queue.empty()) {
         const AttemptId Next = Fake.m_Queue.front();
@@ -663,6 +719,7 @@
   std::vector<Sent> m_Sent;
   std::vector<AskedPause> m_Pauses;
   std::map<RequestId, std::uint64_t> m_Contents;
+  std::map<std::size_t, Cut> m_Cuts;
   std::vector<Crash> m_Crashes;
   std::vector<Decision> m_Decisions;
   std::uint64_t m_LastRequest = 0;
