--- a/include/vanillahill/fleet/news.hpp
+++ b/include/vanillahill/fleet/news.hpp
@@ -80,6 +80,14 @@
   bool m_IsForRelay = false;
 };
 
+/// Whether the sender reaches the backend servers.
+struct VmReach {
+  std::string m_Ip;
+  bool m_IsCutOff = false;
+  /// The receiver is to pass the message on to the VMs of its own data centre.
+  bool m_IsForRelay = false;
+};
+
 /// The contents of the store as one VM knows them, for a VM that has not read the store or that the
 /// store does not answer. Too long for datagrams: VMs fetch it from each other over HTTP.
 struct Snapshot {
@@ -104,7 +112,7 @@
 
 /// The position in the list is the type in a frame.
 using News = std::variant<Hello, PeerList, StoreNews, ServerFailed, Piece, Snapshot, ServerLimited,
-                          RequestCrashes>;
+                          RequestCrashes, VmReach>;
 
 /// \brief Encodes a message into one frame, whatever its size.
 std::string encodeNews(const News &Message);
--- a/include/vanillahill/fleet/peers.hpp
+++ b/include/vanillahill/fleet/peers.hpp
@@ -95,6 +95,9 @@
   /// \brief All known local VMs, without this one.
   std::vector<std::string> local() const;
 
+  /// \brief All known VMs of other data centres.
+  std::vector<std::string> remote() const;
+
   /// \brief The other data centres with at least one known VM.
   std::vector<std::string> remoteDataCenters() const;
 
--- a/include/vanillahill/kernel/decision.hpp
+++ b/include/vanillahill/kernel/decision.hpp
@@ -28,6 +28,8 @@
   Retried,
   /// The request was also sent to a second server because the first one was slow.
   Hedged,
+  /// The request was passed on to another VM, as this one does not reach the servers.
+  Relayed,
   /// An attempt ended.
   AttemptEnded,
   /// The caller received a server's reply.
--- a/include/vanillahill/kernel/dispatcher_base.hpp
+++ b/include/vanillahill/kernel/dispatcher_base.hpp
@@ -5,6 +5,7 @@
 #include "vanillahill/kernel/events.hpp"
 #include "vanillahill/kernel/poison_tracker.hpp"
 #include "vanillahill/kernel/policy/slots.hpp"
+#include "vanillahill/kernel/relay_helpers.hpp"
 #include "vanillahill/kernel/server_reach.hpp"
 #include "vanillahill/kernel/status.hpp"
 #include "vanillahill/settings/settings.hpp"
@@ -41,6 +42,7 @@
   RequestContents m_Contents;
   PoisonTracker m_Poison;
   ServerReach m_Reach;
+  RelayHelpers m_Helpers;
 };
 
 /// Decides for the requests of one service: which server gets them, and when to wait, refuse, retry
--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -8,6 +8,7 @@
 #include "vanillahill/core/time.hpp"
 #include "vanillahill/kernel/decision.hpp"
 #include "vanillahill/kernel/fleet_view.hpp"
+#include "vanillahill/kernel/relay_helpers.hpp"
 #include "vanillahill/peer/message.hpp"
 #include "vanillahill/settings/settings.hpp"
 
@@ -223,6 +224,17 @@
   CrashReport m_Report;
 };
 
+/// Other VMs may take requests for this one than before.
+struct HelpersChanged {
+  std::vector<HelperVm> m_Helpers;
+};
+
+/// Another VM announced whether it reaches the servers.
+struct ReachAnnounced {
+  ServerId m_Helper{};
+  bool m_IsCutOff = false;
+};
+
 /// VMs have joined the fleet or left it.
 struct FleetChanged {
   FleetView m_Fleet;
@@ -239,10 +251,10 @@
 /// The timer set for Node::nextTimer() expired.
 struct TimerFired {};
 
-using Event =
-    std::variant<RequestArrived, CallerGone, AttemptEnded, ProbeEnded, PeerReceived, VmListRead,
-                 LogRead, SettingsRead, ServerFailureHeard, ServerLimitReceived,
-                 CrashReportReceived, FleetChanged, StopRequested, StopOverdue, TimerFired>;
+using Event = std::variant<RequestArrived, CallerGone, AttemptEnded, ProbeEnded, PeerReceived,
+                           VmListRead, LogRead, SettingsRead, ServerFailureHeard,
+                           ServerLimitReceived, CrashReportReceived, HelpersChanged, ReachAnnounced,
+                           FleetChanged, StopRequested, StopOverdue, TimerFired>;
 
 /// Send the request to a backend server.
 struct Dispatch {
@@ -312,6 +324,11 @@
   CrashReport m_Report;
 };
 
+/// Announce to the other VMs whether this one reaches the servers.
+struct AnnounceReach {
+  bool m_IsCutOff = false;
+};
+
 /// The linger time after StopRequested is over: new requests are no longer accepted. Idle
 /// connections are closed; otherwise a caller could send a request on one that cannot end in time.
 struct StopAccepting {};
@@ -321,7 +338,7 @@
 
 using Action = std::variant<Dispatch, CancelAttempt, Answer, SendPeer, ConnectPeers, AppendLog,
                             Probe, SettingsChanged, TellServerFailure, AnnounceServerLimit,
-                            AnnounceCrashReport, Decision, StopAccepting, Stopped>;
+                            AnnounceCrashReport, AnnounceReach, Decision, StopAccepting, Stopped>;
 using Actions = std::vector<Action>;
 
 } // namespace vanillahill::kernel
--- a/include/vanillahill/kernel/poison_tracker.hpp
+++ b/include/vanillahill/kernel/poison_tracker.hpp
@@ -20,6 +20,8 @@
 struct RequestContents {
   std::function<std::optional<std::uint64_t>(RequestId)> m_Hash;
   std::function<std::optional<RequestContent>(RequestId)> m_Content;
+  /// Whether another VM has passed the request on.
+  std::function<bool(RequestId)> m_IsRelayed;
 };
 
 /// The requests under which servers crashed. The reports of all VMs are merged: the union of the
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -102,6 +102,15 @@
   // Whether servers are reached at all.
   void noteReply(TimePoint Now, Actions &Out);
   void noteSilence(ServerId Server, TimePoint Now, Actions &Out);
+  void announceFailure(ServerId Server, Actions &Out) const;
+  void forgetFailuresOfCut(TimePoint Now);
+  void announceCut(TimePoint Now, Actions &Out);
+  void checkReach(TimePoint Now, Actions &Out);
+
+  // Passing requests on to VMs that reach the servers.
+  bool isRelayed(const Request &Pending) const;
+  bool tryRelay(Request &Pending, TimePoint Now, Actions &Out);
+  void relayEnded(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now, Actions &Out);
 
   // Requests that crash servers.
   std::optional<RequestContent> trackedContent(RequestId Request) const;
@@ -145,6 +154,8 @@
   ProbeBudget m_ProbeBudget;
   /// Average round trip time of a probe, seconds.
   Ewma m_ProbeSeconds{0.005, 0.05};
+  /// ServerReach::returns() when failures were last forgotten.
+  std::uint64_t m_SeenReturns = 0;
   /// How many servers the last finished search had sampled.
   std::uint32_t m_LastSampled = 0;
   /// Whether the servers report their load; empty until the first one has answered a probe.
--- a/include/vanillahill/kernel/probed/request.hpp
+++ b/include/vanillahill/kernel/probed/request.hpp
@@ -10,6 +10,10 @@
 
 /// Most servers that one request is sent to, whatever the settings allow.
 inline constexpr std::size_t MaxAttemptsPerRequest = 8;
+/// Other VMs that one request is passed on to, one after the other.
+inline constexpr std::size_t MaxHelpersPerRequest = 5;
+/// A request that could not be sent to this many servers is passed on to another VM.
+inline constexpr std::uint32_t UnreachedBeforeRelay = 3;
 
 /// A kind of request: its settings and its measured durations.
 struct Kind {
@@ -33,9 +37,13 @@
   /// Reply with a server error; the answer to the caller when no other attempt succeeds.
   ReplyPtr m_FailedReply;
   /// Attempts that have not ended.
-  boost::container::static_vector<AttemptId, MaxAttemptsPerRequest> m_Running;
+  boost::container::static_vector<AttemptId, MaxAttemptsPerRequest + 1> m_Running;
   /// Servers that the request was sent to; none gets it twice.
   boost::container::static_vector<ServerId, MaxAttemptsPerRequest> m_Tried;
+  /// VMs that the request was passed on to.
+  boost::container::static_vector<ServerId, MaxHelpersPerRequest> m_TriedHelpers;
+  /// Servers to which it could not be sent.
+  std::uint32_t m_Unreached = 0;
 };
 
 /// One sending of a request to one server. It may outlive the request.
@@ -52,6 +60,8 @@
   bool m_WasNearlyFull = false;
   /// A retry or hedge. Its token goes back to the retry budget when nothing was sent.
   bool m_IsAdditional = false;
+  /// Sent to another VM, which m_Server identifies.
+  bool m_IsRelay = false;
   bool m_Cancelled = false;
 };
 
--- a/include/vanillahill/kernel/server_reach.hpp
+++ b/include/vanillahill/kernel/server_reach.hpp
@@ -21,6 +21,8 @@
   static constexpr std::size_t MinSilentServers = 4;
   /// Time without a reply from any server.
   static constexpr Duration MinSilence = std::chrono::milliseconds(200);
+  /// Interval in which a VM that is cut off looks whether a server answers again.
+  static constexpr Duration CheckInterval = std::chrono::milliseconds(100);
 
   /// \brief Sets how many servers are known; with fewer than MinSilentServers, all must be silent.
   void setServerCount(std::size_t Count) { m_ServerCount = Count; }
@@ -55,6 +57,24 @@
   /// \brief Whether no server can be reached.
   bool isCutOff() const { return m_IsCutOff; }
 
+  /// \brief Whether to look now whether a server answers again; counts as done.
+  bool takeCheck(TimePoint Now) {
+    if (!m_IsCutOff || Now - m_CheckedAt < CheckInterval) {
+      return false;
+    }
+    m_CheckedAt = Now;
+    return true;
+  }
+
+  /// \brief Whether to announce now that this VM is cut off; counts as done.
+  bool takeAnnouncement(TimePoint Now, Duration Interval) {
+    if (!m_IsCutOff || Now - m_AnnouncedAt < Interval) {
+      return false;
+    }
+    m_AnnouncedAt = Now;
+    return true;
+  }
+
   /// \brief How often a cut has ended. Failures of servers that were recorded before say nothing
   /// about the servers.
   std::uint64_t returns() const { return m_Returns; }
@@ -68,7 +88,9 @@
 private:
   std::size_t m_ServerCount = MinSilentServers;
   std::vector<ServerId> m_Silent;
-  TimePoint m_RepliedAt = TimePoint{};
+  TimePoint m_RepliedAt{};
+  TimePoint m_CheckedAt{};
+  TimePoint m_AnnouncedAt{};
   bool m_IsCutOff = false;
   std::uint64_t m_Returns = 0;
 };
--- a/include/vanillahill/net/detail/answer_message.hpp
+++ b/include/vanillahill/net/detail/answer_message.hpp
@@ -7,6 +7,11 @@
 
 namespace vanillahill::net {
 
+/// How a request ended that another VM has passed on, when the answer is not a server's reply.
+inline constexpr const char *RelayOutcomeHeader = "VH-Relay-Outcome";
+inline constexpr const char *RelayNotRun = "not-run";
+inline constexpr const char *RelayUnknown = "unknown";
+
 using AnswerMessage = http::response<http::span_body<const char>>;
 
 /// \brief Makes the message for an answer of the kernel.
--- a/include/vanillahill/net/detail/backend_exchange.hpp
+++ b/include/vanillahill/net/detail/backend_exchange.hpp
@@ -18,6 +18,8 @@
   std::string m_ServerName = {};
   /// Target of a probe.
   std::string m_HealthPath = {};
+  /// Sent to another VM, which sends it to a server.
+  bool m_IsRelay = false;
 
   bool isProbe() const { return m_Request == nullptr; }
 };
--- a/include/vanillahill/net/detail/backend_pool.hpp
+++ b/include/vanillahill/net/detail/backend_pool.hpp
@@ -37,6 +37,9 @@
   /// \brief Applies new settings: servers may be added, removed or get other limits.
   void applySettings(const SiteSettings &Settings);
 
+  /// \brief Sets the VMs to which requests may be passed on.
+  void setHelpers(std::span<const kernel::HelperVm> Helpers);
+
   /// \brief Sends a request; AttemptEnded follows exactly once.
   /// \param Dispatch the target server and the deadline
   /// \param Request the request to send; null ends the attempt as NotSent
@@ -69,6 +72,8 @@
 
   /// One server with its connections.
   struct Server {
+    /// It is another VM.
+    bool m_IsVm = false;
     std::string m_Name;
     std::string m_HealthPath;
     std::string m_Address;
@@ -103,6 +108,7 @@
                           asio::steady_timer &Deadline);
   void abandonExchange(std::uint64_t Id, bool IsLate);
   void assignIdleConnections(Server &Target, PendingActions &Actions);
+  void setAddress(Server &Target, const std::string &Address, PendingActions &Actions);
   void openConnections(ServerId Id, Server &Target, std::size_t Spare, PendingActions &Actions);
   void applyServer(const ServerSettings &Settings, const ServiceSettings &Service,
                    std::size_t MaxVms, PendingActions &Actions);
--- a/include/vanillahill/net/detail/caller_connection.hpp
+++ b/include/vanillahill/net/detail/caller_connection.hpp
@@ -22,11 +22,18 @@
   Closed,
 };
 
+struct CallerConnectionOptions {
+  std::uint64_t m_Id = 0;
+  /// Another VM passes requests on over it.
+  bool m_IsFromVm = false;
+};
+
 /// Lives until its socket is closed. All members except the atomic ones are accessed only on its
 /// strand.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-  CallerConnection(std::uint64_t Id, Socket Stream, std::shared_ptr<CallerServer> Server);
+  CallerConnection(CallerConnectionOptions Options, Socket Stream,
+                   std::shared_ptr<CallerServer> Server);
 
   /// \brief Starts reading. \note Thread safe.
   void start();
@@ -44,6 +51,9 @@
   /// \brief Closes the connection if it is between two requests. \note Thread safe.
   void closeIfIdle();
 
+  /// \brief Whether another VM passes requests on over it. \note Thread safe.
+  bool isFromVm() const { return m_Options.m_IsFromVm; }
+
   /// \brief Closes the connection, whatever its phase. \note Thread safe.
   void closeNow();
 
@@ -57,6 +67,8 @@
   void submitRequest();
   void sendContinueIfExpected();
   void sendRefusal(CallerFault Fault);
+  /// Tells a VM how its request ended, if no server's reply says it.
+  void markOutcome(kernel::Outcome Outcome);
   void recordFault(CallerFault Fault);
   void writeResponse(bool KeepAlive);
   void onWritten(ErrorCode Failure, bool KeepAlive);
@@ -68,7 +80,7 @@
   /// Sets the phase and its deadline.
   void enterPhase(CallerPhase Phase);
 
-  const std::uint64_t m_Id;
+  const CallerConnectionOptions m_Options;
   Socket m_Stream;
   std::shared_ptr<CallerServer> m_Server;
   CallerLimits m_Limits;
--- a/include/vanillahill/net/detail/caller_server.hpp
+++ b/include/vanillahill/net/detail/caller_server.hpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 namespace vanillahill::net {
@@ -29,6 +30,12 @@
   /// \brief Sets the function to call for refused requests. Call it before start().
   void onRefusal(RefusalSink Sink) { m_OnRefusal = std::move(Sink); }
 
+  /// \brief Also accepts requests that other VMs pass on. Call it before start().
+  void acceptFromVms(Acceptor Listener) { m_VmAcceptor.emplace(std::move(Listener)); }
+
+  /// \brief Whether another VM has passed an open request on.
+  bool isRelayed(RequestId Id) const;
+
   /// \brief Starts accepting connections and checking for slow callers.
   void start();
 
@@ -69,10 +76,11 @@
     std::shared_ptr<CallerConnection> m_Connection;
     CallerRequestPtr m_Request;
     TimePoint m_Arrived{};
+    bool m_IsRelayed = false;
   };
 
-  void accept();
-  void addConnection(Socket Stream);
+  void accept(Acceptor &Listener);
+  void addConnection(Socket Stream, bool IsFromVm);
   void checkCallerTimeouts();
   std::vector<std::shared_ptr<CallerConnection>> connections() const;
 
@@ -82,12 +90,14 @@
   bool isLeaving() const { return m_Leaving.load(std::memory_order_relaxed); }
   RequestId nextRequestId() { return static_cast<RequestId>(++m_LastRequestId); }
   void submitRequest(RequestId Id, std::shared_ptr<CallerConnection> Connection,
-                     CallerRequestPtr Request);
+                     CallerRequestPtr Request, bool IsRelayed);
   void abandonRequest(RequestId Id);
   void removeConnection(std::uint64_t Id);
 
   asio::io_context &m_Io;
   Acceptor m_Acceptor;
+  /// For requests that other VMs pass on.
+  std::optional<Acceptor> m_VmAcceptor;
   Timer m_TimeoutCheckTimer;
   EventSink m_Post;
   RefusalSink m_OnRefusal;
@@ -101,6 +111,7 @@
   CallerLimits m_Limits;
   std::shared_ptr<const RouteTable> m_Routes;
   std::uint64_t m_LastConnectionId = 0;
+  std::atomic<std::size_t> m_VmConnections = 0;
   std::unordered_map<std::uint64_t, std::shared_ptr<CallerConnection>> m_Connections;
   std::unordered_map<RequestId, OpenRequest> m_Requests;
 };
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -69,6 +69,11 @@
   std::function<void(const kernel::ServerLimitReceived &)> m_OnServerLimit;
   /// Called when another VM announced servers that crashed under a request.
   std::function<void(const CrashReport &)> m_OnCrashReport;
+  /// Called when other VMs may take requests for this one than before.
+  std::function<void(std::vector<std::string> LocalIps, std::vector<std::string> RemoteIps)>
+      m_OnHelpersChanged;
+  /// Called when another VM announced whether it reaches the servers.
+  std::function<void(std::string_view Ip, bool IsCutOff)> m_OnReachAnnounced;
   /// Called when VMs have joined the fleet or left it.
   std::function<void(kernel::FleetView)> m_OnFleetChanged;
   /// Fetches the snapshot of the VM with the given IP.
@@ -95,6 +100,9 @@
   /// \brief Announces to all other VMs the limit that a backend server named.
   void announceServerLimit(const kernel::AnnounceServerLimit &Named);
 
+  /// \brief Announces to all other VMs whether this one reaches the servers.
+  void announceReach(bool IsCutOff);
+
   /// \brief Announces to all other VMs the servers that crashed under a request.
   void announceCrashReport(const CrashReport &Report);
 
@@ -139,6 +147,7 @@
   void handleMessage(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::ServerFailed &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::ServerLimited &Message, TimePoint Now);
+  void handleMessage(std::string_view Ip, const fleet::VmReach &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::RequestCrashes &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::Piece &Message, TimePoint Now);
   void handleMessage(std::string_view Ip, const fleet::Snapshot &Message, TimePoint Now);
@@ -157,6 +166,7 @@
   fleet::VmInfo selfInfo() const;
   void logFleetSize();
   void publishFleet();
+  void publishHelpers();
   void sendDueHellos();
   void sendHello(const std::string &Ip, bool AsksForPeers);
   void send(std::span<const std::string> Ips, const fleet::News &Message);
@@ -196,6 +206,9 @@
   fleet::MajorityGuard m_MajorityGuard;
   /// Peers::changes() when the fleet was last published.
   std::uint64_t m_PublishedFleet = 0;
+  /// VMs that were last passed to FleetClientOptions::m_OnHelpersChanged.
+  std::vector<std::string> m_LocalHelpers;
+  std::vector<std::string> m_RemoteHelpers;
   /// Fleet size in the last log line about it.
   std::size_t m_LoggedFleetSize = 1;
   fleet::FailureThrottle m_FailureThrottle;
--- a/src/fleet/news.cpp
+++ b/src/fleet/news.cpp
@@ -153,6 +153,10 @@
                       toMicros(Message.m_Age), Message.m_IsForRelay});
 }
 
+Json encodeBody(const VmReach &Message) {
+  return Json::array({Message.m_Ip, Message.m_IsCutOff, Message.m_IsForRelay});
+}
+
 Json encodeBody(const RequestCrashes &Message) {
   const CrashReport &Report = Message.m_Report;
   Json Crashes = Json::array();
@@ -266,6 +270,10 @@
     return decodeServerLimited(Fields);
   case 7:
     return decodeRequestCrashes(Fields);
+  case 8:
+    return VmReach{.m_Ip = Fields.at(0).get<std::string>(),
+                   .m_IsCutOff = Fields.at(1).get<bool>(),
+                   .m_IsForRelay = Fields.at(2).get<bool>()};
   default:
     throw std::invalid_argument("unknown type " + std::to_string(Type));
   }
--- a/src/fleet/peers.cpp
+++ b/src/fleet/peers.cpp
@@ -188,6 +188,16 @@
   return Ips;
 }
 
+std::vector<std::string> Peers::remote() const {
+  std::vector<std::string> Ips;
+  for (const auto &[DataCenter, Group] : m_Remote) {
+    for (const auto &[Ip, LastHeard] : Group.m_LastHeard) {
+      Ips.push_back(Ip);
+    }
+  }
+  return Ips;
+}
+
 std::vector<std::string> Peers::remoteDataCenters() const {
   std::vector<std::string> Names;
   Names.reserve(m_Remote.size());
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -373,6 +373,14 @@
     }
   }
 
+  void onEvent(const HelpersChanged &Input, TimePoint /*Now*/, Actions & /*Out*/) {
+    m_Context.m_Helpers.set(Input.m_Helpers);
+  }
+
+  void onEvent(const ReachAnnounced &Input, TimePoint Now, Actions & /*Out*/) {
+    m_Context.m_Helpers.noteAnnounced(Input.m_Helper, Input.m_IsCutOff, Now);
+  }
+
   void onEvent(const FleetChanged &Input, TimePoint Now, Actions &Out) {
     if (hasNewVms(m_Context.m_Fleet, Input.m_Fleet)) {
       for (const CrashReport &Report :
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -133,7 +133,12 @@
     return;
   }
   m_Timers.push({.m_At = Deadline, .m_Type = RequestTimerType::Deadline, .m_Request = Id});
-  startSearch(Added, SearchPurpose::FirstAttempt, Now, Out);
+  checkReach(Now, Out);
+  if (!m_Context.m_Reach.isCutOff()) {
+    startSearch(Added, SearchPurpose::FirstAttempt, Now, Out);
+  } else if (!tryRelay(Added, Now, Out)) {
+    giveUpRequest(Added, Now, Out);
+  }
   checkInvariants();
 }
 
@@ -145,6 +150,7 @@
 }
 
 void Dispatcher::startRound(Request &Pending, TimePoint Now, Actions &Out) {
+  forgetFailuresOfCut(Now);
   Search &CurrentSearch = *Pending.m_Search;
   const SearchCriteria Criteria = criteriaOf(Pending, Now);
   ++CurrentSearch.m_Rounds;
@@ -301,6 +307,13 @@
   if (refuseIfHeldBack(Pending, Now, Out)) {
     return;
   }
+  if (m_Context.m_Reach.isCutOff()) {
+    // Found during the search.
+    if (!tryRelay(Pending, Now, Out)) {
+      giveUpRequest(Pending, Now, Out);
+    }
+    return;
+  }
   const bool IsFirst = Pending.m_Purpose == SearchPurpose::FirstAttempt;
   const Kind &RequestKind = m_Kinds[Pending.m_Kind];
   if (!RequestKind.m_Settings.m_Idempotent && m_Context.m_Gate != nullptr) {
@@ -384,6 +397,12 @@
       !m_ProbeBudget.allowsMoreRounds(Now)) {
     return;
   }
+  if (m_Context.m_Reach.isCutOff()) {
+    if (tryRelay(Pending, Now, Out)) {
+      m_RetryBudget.tryTakeToken();
+    }
+    return;
+  }
   startSearch(Pending, SearchPurpose::Hedge, Now, Out);
 }
 
@@ -428,6 +447,11 @@
   }
   const Attempt Sent = Found->second;
   m_Attempts.erase(Found);
+  if (Sent.m_IsRelay) {
+    relayEnded(Sent, Ended, Now, Out);
+    checkInvariants();
+    return;
+  }
   appendAttemptEnd(Sent, Ended, Now, Out);
   if (Ended.m_ServerLeaving) {
     recordLeaving(Sent.m_Server, "request", Now - Sent.m_Started, Now, Out);
@@ -495,7 +519,7 @@
   case AttemptResult::Completed:
     if (isServerError(*Ended.m_Reply)) {
       addFailure(*Backend, 1.0, Now, Out);
-      Out.push_back(TellServerFailure{Sent.m_Server});
+      announceFailure(Sent.m_Server, Out);
     } else {
       Backend->recordSuccess(Now);
       learnDuration(*Backend, Sent, Now);
@@ -517,7 +541,7 @@
       return;
     }
     addFailure(*Backend, 1.0, Now, Out);
-    Out.push_back(TellServerFailure{Sent.m_Server});
+    announceFailure(Sent.m_Server, Out);
     return;
   }
 }
@@ -568,6 +592,11 @@
   }
   const bool MustNotRepeat = Pending.m_MayHaveRun && !IsIdempotent;
   const bool NotSent = Ended.m_Result == AttemptResult::NotSent;
+  Pending.m_Unreached += NotSent ? 1 : 0;
+  if (NotSent && !MustNotRepeat && Pending.m_Unreached >= UnreachedBeforeRelay &&
+      tryRelay(Pending, Now, Out)) {
+    return;
+  }
   const RetryReason Why = NotSent                                   ? RetryReason::NotSent
                           : Ended.m_Result == AttemptResult::NotRun ? RetryReason::ServerNotRun
                                                                     : RetryReason::LostIdempotent;
@@ -608,6 +637,10 @@
     return;
   }
   if (!Pending.m_MayHaveRun) {
+    const bool IsUnreached = m_Context.m_Reach.isCutOff() || Pending.m_Unreached > 0;
+    if (IsUnreached && tryRelay(Pending, Now, Out)) {
+      return;
+    }
     if (const auto Resumed = firstResumption(m_Backends, criteriaOf(Pending, Now), Now)) {
       refuseRequest(Pending, Resumed->m_Reason, timeUntilResumed(Resumed->m_At, Now), Now, Out);
       return;
--- a/src/kernel/probed/dispatcher_reach.cpp
+++ b/src/kernel/probed/dispatcher_reach.cpp
@@ -6,6 +6,7 @@
   const Duration Silence = m_Context.m_Reach.silence(Now);
   if (m_Context.m_Reach.noteReply(Now)) {
     Out.push_back(Decision{.m_Type = DecisionType::ServersReachable, .m_Took = Silence});
+    Out.push_back(AnnounceReach{.m_IsCutOff = false});
   }
 }
 
@@ -14,6 +15,131 @@
     Out.push_back(Decision{.m_Type = DecisionType::ServersUnreachable,
                            .m_Asked = static_cast<std::uint32_t>(m_Context.m_Reach.silentServers()),
                            .m_Took = m_Context.m_Reach.silence(Now)});
+    announceCut(Now, Out);
+  }
+}
+
+/// The other VMs then do not pass their requests on to this one.
+void Dispatcher::announceCut(TimePoint Now, Actions &Out) {
+  if (m_Context.m_Reach.takeAnnouncement(Now, RelayHelpers::AnnounceInterval)) {
+    Out.push_back(AnnounceReach{.m_IsCutOff = true});
+  }
+}
+
+/// Announces the failure of a server, unless the cause is more likely that this VM reaches none.
+void Dispatcher::announceFailure(ServerId Server, Actions &Out) const {
+  if (!m_Context.m_Reach.isCutOff()) {
+    Out.push_back(TellServerFailure{Server});
+  }
+}
+
+/// After a cut, what was recorded of the servers meanwhile says nothing about them.
+void Dispatcher::forgetFailuresOfCut(TimePoint Now) {
+  if (m_SeenReturns == m_Context.m_Reach.returns()) {
+    return;
+  }
+  m_SeenReturns = m_Context.m_Reach.returns();
+  for (BackendView &Backend : m_Backends) {
+    Backend.m_FailureScore.set(0.0, Now);
+  }
+}
+
+/// While no server can be reached, probes one at random now and then.
+void Dispatcher::checkReach(TimePoint Now, Actions &Out) {
+  announceCut(Now, Out);
+  if (!m_Context.m_Reach.takeCheck(Now)) {
+    return;
+  }
+  std::vector<BackendIndex> Candidates;
+  for (BackendIndex Index = 0; Index < m_Backends.size(); ++Index) {
+    const BackendView &Backend = m_Backends[Index];
+    if (!Backend.m_ProbeSince && !Backend.m_Fitness.isPaused(Now) && !Backend.isLeaving()) {
+      Candidates.push_back(Index);
+    }
+  }
+  if (Candidates.empty()) {
+    return;
+  }
+  std::uniform_int_distribution<std::size_t> Position(0, Candidates.size() - 1);
+  BackendView &Backend = m_Backends[Candidates[Position(m_Context.m_Random)]];
+  Backend.m_ProbeSince = Now;
+  ++Backend.m_Probes;
+  m_ProbeBudget.takeToken();
+  Out.push_back(Probe{Backend.m_Settings.m_Id});
+}
+
+bool Dispatcher::isRelayed(const Request &Pending) const {
+  const RequestContents &Contents = m_Context.m_Contents;
+  return Contents.m_IsRelayed && Contents.m_IsRelayed(Pending.m_Id);
+}
+
+/// Sends the request to a VM that may reach the servers. A request that came from another VM is not
+/// passed on.
+/// \return false when it cannot be sent
+bool Dispatcher::tryRelay(Request &Pending, TimePoint Now, Actions &Out) {
+  const auto &Tried = Pending.m_TriedHelpers;
+  if (Tried.size() == Tried.capacity() || Now >= Pending.m_Deadline || isRelayed(Pending) ||
+      isHeldBack(Pending, Now)) {
+    return false;
+  }
+  const auto Helper =
+      m_Context.m_Helpers.choose({Tried.data(), Tried.size()}, Now, m_Context.m_Random);
+  if (!Helper) {
+    return false;
+  }
+  const bool IsIdempotent = m_Kinds[Pending.m_Kind].m_Settings.m_Idempotent;
+  if (!IsIdempotent && m_Context.m_Gate != nullptr &&
+      m_Context.m_Gate->mayDispatch(Pending.m_Id, Now) != Reason::None) {
+    return false;
+  }
+  const Attempt Sent{.m_Id = AttemptId{m_Context.m_NextAttempt++},
+                     .m_Request = Pending.m_Id,
+                     .m_Kind = Pending.m_Kind,
+                     .m_Server = *Helper,
+                     .m_Started = Now,
+                     .m_IsRelay = true};
+  Decision Entry = makeDecision(DecisionType::Relayed, Pending, Now);
+  Entry.m_Server = m_Context.m_Helpers.find(*Helper)->m_Name;
+  Out.push_back(std::move(Entry));
+  m_Context.m_Helpers.countSent(*Helper);
+  m_Attempts.emplace(Sent.m_Id, Sent);
+  Pending.m_Running.push_back(Sent.m_Id);
+  Pending.m_TriedHelpers.push_back(*Helper);
+  announceIfTrial(Pending, Now, Out);
+  Out.push_back(Dispatch{.m_Request = Pending.m_Id,
+                         .m_Attempt = Sent.m_Id,
+                         .m_Server = *Helper,
+                         .m_Deadline = Pending.m_Deadline});
+  return true;
+}
+
+void Dispatcher::relayEnded(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now,
+                            Actions &Out) {
+  const bool WasServed = Ended.m_Result == AttemptResult::Completed;
+  m_Context.m_Helpers.noteEnd(Sent.m_Server, WasServed || Sent.m_Cancelled, Now);
+  Decision Entry{.m_Type = DecisionType::AttemptEnded,
+                 .m_Request = Sent.m_Request,
+                 .m_Took = Now - Sent.m_Started,
+                 .m_Outcome = Sent.m_Cancelled ? "cancelled" : toString(Ended.m_Result),
+                 .m_Status = Ended.m_Reply ? Ended.m_Reply->m_Status : 0};
+  if (const HelperVm *Helper = m_Context.m_Helpers.find(Sent.m_Server)) {
+    Entry.m_Server = Helper->m_Name;
+  }
+  Out.push_back(std::move(Entry));
+  const auto Owner = m_Requests.find(Sent.m_Request);
+  if (Owner == m_Requests.end()) {
+    return;
+  }
+  Request &Pending = Owner->second;
+  Pending.m_Running.erase(std::find(Pending.m_Running.begin(), Pending.m_Running.end(), Sent.m_Id));
+  if (WasServed) {
+    noteCompletion(Sent, Now, Out);
+    completeRequest(Pending, Ended.m_Reply, Now, Out);
+    return;
+  }
+  Pending.m_MayHaveRun |= Ended.m_Result == AttemptResult::Unknown;
+  if (Pending.m_Running.empty() && !Pending.m_Search) {
+    giveUpRequest(Pending, Now, Out);
   }
 }
 
--- a/src/kernel/reasons.cpp
+++ b/src/kernel/reasons.cpp
@@ -72,6 +72,8 @@
     return "request_retried";
   case DecisionType::Hedged:
     return "request_hedged";
+  case DecisionType::Relayed:
+    return "request_relayed";
   case DecisionType::AttemptEnded:
     return "attempt_ended";
   case DecisionType::Answered:
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::chrono::seconds ConnectTimeout(1);
+/// A connection to another VM is not used again after this time: that VM closes idle ones.
+constexpr Duration RelayIdleTime = std::chrono::seconds(5);
 
 Errc errorCodeOf(observe::ReplyFault Fault) {
   switch (Fault) {
@@ -221,7 +223,10 @@
 void BackendConnection::updateUsableUntil(const HttpReply &Message) {
   // The last request must be sent well before the server closes the connection.
   constexpr std::chrono::milliseconds Margin(500);
-  const auto Time = keepAliveTime(Message);
+  auto Time = keepAliveTime(Message);
+  if (!Time && m_Exchange->m_IsRelay) {
+    Time = RelayIdleTime;
+  }
   m_UsableUntil = Time ? SystemClock().now() + *Time - Margin : TimePoint::max();
 }
 
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -10,6 +10,8 @@
 
 /// Probes have an id range of their own, above the ids of attempts.
 constexpr std::uint64_t FirstProbeId = 1ULL << 63U;
+/// Connections to one VM, over which requests are passed on.
+constexpr std::size_t MaxConnectionsToVm = 64;
 
 } // namespace
 
@@ -41,17 +43,10 @@
   auto &Target = m_Servers[Settings.m_Id];
   Target.m_Name = Settings.m_Name;
   Target.m_HealthPath = Service.m_HealthPath;
-  if (Target.m_Address != Settings.m_Address) {
-    const auto Endpoint = parseEndpoint(Settings.m_Address);
-    if (!Endpoint) {
-      Target.m_IsListed = false;
-      return;
-    }
-    Target.m_Address = Settings.m_Address;
-    Target.m_Endpoint = *Endpoint;
-    closeIdleConnections(Target, Actions);
+  setAddress(Target, Settings.m_Address, Actions);
+  if (!Target.m_IsListed) {
+    return;
   }
-  Target.m_IsListed = true;
   Target.m_MaxConnections = std::max<std::size_t>(Settings.m_MaxConnections / MaxVms, 1);
   Target.m_IsLeaving = Settings.m_Leaving;
   if (Target.m_IsLeaving) {
@@ -61,6 +56,46 @@
   }
 }
 
+/// Lists the target if the address is valid.
+void BackendPool::setAddress(Server &Target, const std::string &Address, PendingActions &Actions) {
+  Target.m_IsListed = true;
+  if (Target.m_Address == Address) {
+    return;
+  }
+  const auto Endpoint = parseEndpoint(Address);
+  if (!Endpoint) {
+    Target.m_IsListed = false;
+    return;
+  }
+  Target.m_Address = Address;
+  Target.m_Endpoint = *Endpoint;
+  closeIdleConnections(Target, Actions);
+}
+
+void BackendPool::setHelpers(std::span<const kernel::HelperVm> Helpers) {
+  PendingActions Actions;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    for (auto &[Id, Target] : m_Servers) {
+      const bool IsGone =
+          Target.m_IsVm && std::none_of(Helpers.begin(), Helpers.end(),
+                                        [Id = Id](const auto &Each) { return Each.m_Id == Id; });
+      if (IsGone) {
+        Target.m_IsListed = false;
+        closeIdleConnections(Target, Actions);
+      }
+    }
+    for (const kernel::HelperVm &Helper : Helpers) {
+      Server &Target = m_Servers[Helper.m_Id];
+      Target.m_IsVm = true;
+      Target.m_Name = Helper.m_Name;
+      Target.m_MaxConnections = MaxConnectionsToVm;
+      setAddress(Target, Helper.m_Address, Actions);
+    }
+  }
+  runActions(std::move(Actions));
+}
+
 void BackendPool::closeIdleConnections(Server &Target, PendingActions &Actions) {
   std::move(Target.m_Idle.begin(), Target.m_Idle.end(), std::back_inserter(Actions.m_ToClose));
   Target.m_Idle.clear();
@@ -68,7 +103,7 @@
 
 void BackendPool::markUnlisted(const std::set<ServerId> &Listed, PendingActions &Actions) {
   for (auto &[Id, Target] : m_Servers) {
-    if (Listed.contains(Id)) {
+    if (Target.m_IsVm || Listed.contains(Id)) {
       continue;
     }
     Target.m_IsListed = false;
@@ -114,6 +149,7 @@
     const auto Found = m_Servers.find(NewExchange.m_Server);
     if (Found != m_Servers.end()) {
       NewExchange.m_ServerName = Found->second.m_Name;
+      NewExchange.m_IsRelay = Found->second.m_IsVm;
       NewExchange.m_HealthPath = NewExchange.isProbe() ? Found->second.m_HealthPath : std::string();
     }
     const auto Exchange = std::make_shared<const BackendExchange>(std::move(NewExchange));
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -30,9 +30,9 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(std::uint64_t Id, Socket Stream,
+CallerConnection::CallerConnection(CallerConnectionOptions Options, Socket Stream,
                                    std::shared_ptr<CallerServer> Server)
-    : m_Id(Id), m_Stream(std::move(Stream)), m_Server(std::move(Server)),
+    : m_Options(Options), m_Stream(std::move(Stream)), m_Server(std::move(Server)),
       m_Limits(m_Server->limits()),
       m_Reader({.m_HeaderBytes = m_Limits.m_HeaderBytes, .m_BodyBytes = m_Limits.m_BodyBytes}),
       m_DeadlineTicks(TimePoint::max().time_since_epoch().count()) {
@@ -152,7 +152,8 @@
   }
   // Set before the kernel gets the request, since it may answer before submitRequest() returns.
   m_Request = m_Server->nextRequestId();
-  m_Server->submitRequest(m_Request, shared_from_this(), std::move(Parsed.m_Request));
+  m_Server->submitRequest(m_Request, shared_from_this(), std::move(Parsed.m_Request),
+                          m_Options.m_IsFromVm);
 }
 
 void CallerConnection::answer(RequestId Id, kernel::Answer Answer) {
@@ -167,6 +168,7 @@
     const bool KeepAlive = Self->m_KeepAlive && !Self->m_Server->isLeaving();
     Self->m_Response =
         Self->m_Server->m_Dialect.m_AnswerMessage(Self->m_Answer, Self->m_RefusalText, KeepAlive);
+    Self->markOutcome(Self->m_Answer.m_Outcome);
     Self->writeResponse(KeepAlive);
   });
 }
@@ -175,9 +177,17 @@
   recordFault(Fault);
   const bool KeepAlive = !endsConnection(Fault) && m_KeepAlive && !m_Server->isLeaving();
   m_Response = m_Server->m_Dialect.m_FaultMessage(Fault, m_RefusalText, KeepAlive);
+  markOutcome(kernel::Outcome::NotRun);
   writeResponse(KeepAlive);
 }
 
+void CallerConnection::markOutcome(kernel::Outcome Outcome) {
+  if (m_Options.m_IsFromVm && Outcome != kernel::Outcome::Completed) {
+    m_Response.set(RelayOutcomeHeader,
+                   Outcome == kernel::Outcome::NotRun ? RelayNotRun : RelayUnknown);
+  }
+}
+
 void CallerConnection::recordFault(CallerFault Fault) {
   m_Server->m_Metrics.countFault(Fault);
   if (!endsConnection(Fault)) {
@@ -297,7 +307,7 @@
   }
   enterPhase(CallerPhase::Closed);
   closeSocket(m_Stream);
-  m_Server->removeConnection(m_Id);
+  m_Server->removeConnection(m_Options.m_Id);
 }
 
 void CallerConnection::enterPhase(CallerPhase Phase) {
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -14,6 +14,9 @@
 /// Maximum number of connections beyond the limit that get a refusal at the same time; more are
 /// closed without one.
 constexpr std::size_t MaxRefusedConnections = 64;
+/// Maximum number of connections over which other VMs pass requests on, each with one at a time.
+/// The VM's own callers need most of its processor time and memory.
+constexpr std::size_t MaxVmConnections = 256;
 
 } // namespace
 
@@ -29,37 +32,43 @@
 
 void CallerServer::start() {
   asio::dispatch(m_Acceptor.get_executor(), [Self = shared_from_this()] {
-    Self->accept();
+    Self->accept(Self->m_Acceptor);
+    if (Self->m_VmAcceptor) {
+      Self->accept(*Self->m_VmAcceptor);
+    }
     Self->checkCallerTimeouts();
   });
 }
 
-void CallerServer::accept() {
-  m_Acceptor.async_accept(
-      asio::make_strand(m_Io), [Self = shared_from_this()](ErrorCode Failure, Socket Stream) {
-        if (Self->m_Closed.load()) {
-          return;
-        }
-        if (!Failure) {
-          Self->addConnection(std::move(Stream));
-          Self->accept();
-          return;
-        }
-        auto Pause = std::make_shared<Timer>(Self->m_Acceptor.get_executor(), AcceptPause);
-        Pause->async_wait([Self, Pause](ErrorCode) { Self->accept(); });
-      });
+void CallerServer::accept(Acceptor &Listener) {
+  Listener.async_accept(asio::make_strand(m_Io), [Self = shared_from_this(),
+                                                  &Listener](ErrorCode Failure, Socket Stream) {
+    if (Self->m_Closed.load()) {
+      return;
+    }
+    if (!Failure) {
+      Self->addConnection(std::move(Stream), &Listener != &Self->m_Acceptor);
+      Self->accept(Listener);
+      return;
+    }
+    auto Pause = std::make_shared<Timer>(Listener.get_executor(), AcceptPause);
+    Pause->async_wait([Self, Pause, &Listener](ErrorCode) { Self->accept(Listener); });
+  });
 }
 
-void CallerServer::addConnection(Socket Stream) {
+void CallerServer::addConnection(Socket Stream, bool IsFromVm) {
   const auto Open = connectionCount();
   const auto Limit = limits().m_Connections;
   if (Open >= Limit + MaxRefusedConnections) {
     m_Metrics.countFault(CallerFault::TooManyConnections);
     return;
   }
-  const bool IsFull = Open >= Limit;
+  const bool IsFull = Open >= Limit || (IsFromVm && m_VmConnections >= MaxVmConnections);
+  m_VmConnections += IsFromVm ? 1 : 0;
   const auto Id = ++m_LastConnectionId;
-  auto Added = std::make_shared<CallerConnection>(Id, std::move(Stream), shared_from_this());
+  auto Added = std::make_shared<CallerConnection>(
+      CallerConnectionOptions{.m_Id = Id, .m_IsFromVm = IsFromVm}, std::move(Stream),
+      shared_from_this());
   {
     const std::lock_guard Lock(m_Mutex);
     m_Connections[Id] = Added;
@@ -129,6 +138,12 @@
   return Found == m_Requests.end() ? nullptr : Found->second.m_Request;
 }
 
+bool CallerServer::isRelayed(RequestId Id) const {
+  const std::lock_guard Lock(m_Mutex);
+  const auto Found = m_Requests.find(Id);
+  return Found != m_Requests.end() && Found->second.m_IsRelayed;
+}
+
 void CallerServer::leave() { m_Leaving.store(true); }
 
 void CallerServer::close() {
@@ -137,6 +152,9 @@
   asio::post(m_Acceptor.get_executor(), [Self = shared_from_this()] {
     ErrorCode Ignored;
     Self->m_Acceptor.close(Ignored);
+    if (Self->m_VmAcceptor) {
+      Self->m_VmAcceptor->close(Ignored);
+    }
     for (const auto &Connection : Self->connections()) {
       Connection->closeIfIdle();
     }
@@ -170,7 +188,7 @@
 }
 
 void CallerServer::submitRequest(RequestId Id, std::shared_ptr<CallerConnection> Connection,
-                                 CallerRequestPtr Request) {
+                                 CallerRequestPtr Request, bool IsRelayed) {
   kernel::RequestArrived Arrived{.m_Request = Id,
                                  .m_Service = Request->m_Service,
                                  .m_Kind = Request->m_Kind,
@@ -179,7 +197,7 @@
                                  .m_TimeLeft = Request->m_TimeLeft};
   {
     const std::lock_guard Lock(m_Mutex);
-    m_Requests[Id] = {std::move(Connection), std::move(Request), SystemClock().now()};
+    m_Requests[Id] = {std::move(Connection), std::move(Request), SystemClock().now(), IsRelayed};
   }
   m_Post(std::move(Arrived));
 }
@@ -196,7 +214,11 @@
 
 void CallerServer::removeConnection(std::uint64_t Id) {
   const std::lock_guard Lock(m_Mutex);
-  m_Connections.erase(Id);
+  const auto Found = m_Connections.find(Id);
+  if (Found != m_Connections.end()) {
+    m_VmConnections -= Found->second->isFromVm() ? 1 : 0;
+    m_Connections.erase(Found);
+  }
 }
 
 } // namespace vanillahill::net
--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -61,6 +61,9 @@
   void carryOut(kernel::AnnounceServerLimit & /*Step*/) {
     // Servers name limits only where VMs announce them to each other by datagrams.
   }
+  void carryOut(kernel::AnnounceReach & /*Step*/) {
+    // Requests are passed on only where VMs announce this to each other by datagrams.
+  }
   void carryOut(kernel::AnnounceCrashReport & /*Step*/) {
     // Requests that crash servers are found only where VMs announce them to each other by
     // datagrams.
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -106,6 +106,7 @@
   sendDueHellos();
   logFleetSize();
   publishFleet();
+  publishHelpers();
   m_Follower.setFleetSize(m_Peers.fleetSize(), m_Peers.localSize());
   observe::flushLog();
   if (m_Peers.hasSizeChanged(m_SettingsFleetSize)) {
--- a/src/net/fleet_client_peers.cpp
+++ b/src/net/fleet_client_peers.cpp
@@ -43,6 +43,14 @@
   }
 }
 
+void FleetClient::handleMessage(std::string_view /*Ip*/, const fleet::VmReach &Message,
+                                TimePoint /*Now*/) {
+  passOnIfRelay(Message);
+  if (m_Options.m_OnReachAnnounced) {
+    m_Options.m_OnReachAnnounced(Message.m_Ip, Message.m_IsCutOff);
+  }
+}
+
 void FleetClient::handleMessage(std::string_view /*Ip*/, const fleet::RequestCrashes &Message,
                                 TimePoint /*Now*/) {
   passOnIfRelay(Message);
@@ -98,6 +106,19 @@
   m_Options.m_OnFleetChanged(std::move(Fleet));
 }
 
+void FleetClient::publishHelpers() {
+  if (!m_Options.m_OnHelpersChanged) {
+    return;
+  }
+  auto Local = m_Peers.local();
+  auto Remote = m_Peers.remote();
+  if (Local != m_LocalHelpers || Remote != m_RemoteHelpers) {
+    m_LocalHelpers = Local;
+    m_RemoteHelpers = Remote;
+    m_Options.m_OnHelpersChanged(std::move(Local), std::move(Remote));
+  }
+}
+
 void FleetClient::sendDueHellos() {
   for (const fleet::DueHello &Due : m_Peers.dueHellos(SystemClock().now())) {
     sendHello(Due.m_Ip, Due.m_AsksForPeers);
@@ -123,6 +144,10 @@
   sendToAll(Message);
 }
 
+void FleetClient::announceReach(bool IsCutOff) {
+  sendToAll(fleet::VmReach{.m_Ip = m_Options.m_Peers.m_SelfIp, .m_IsCutOff = IsCutOff});
+}
+
 void FleetClient::announceCrashReport(const CrashReport &Report) {
   sendToAll(fleet::RequestCrashes{.m_Report = Report});
 }
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -131,6 +131,7 @@
     return Made.m_Status >= MinFailureStatus;
   case DecisionType::Placed:
   case DecisionType::Hedged:
+  case DecisionType::Relayed:
     return false;
   }
   return false;
--- a/tests/front_harness.hpp
+++ b/tests/front_harness.hpp
@@ -91,13 +91,15 @@
   static constexpr std::chrono::milliseconds ShortGrace{400};
 
   explicit RunningFront(const FakeStore &Store, std::string SettingsPath = {},
-                        std::uint16_t PeerPort = 0, Duration Grace = ShortGrace) {
+                        std::uint16_t PeerPort = 0, Duration Grace = ShortGrace,
+                        std::uint16_t RelayPort = 0) {
     ProcessSettings Process{.m_Name = "n1",
                             .m_Ip = "127.0.0.1",
                             .m_DataCenter = "dc1",
                             .m_CallerAddress = "127.0.0.1:0",
                             .m_ReadyAddress = "127.0.0.1:0",
                             .m_PeerPort = PeerPort,
+                            .m_RelayPort = RelayPort,
                             .m_StoreAddress = Store.address(),
                             .m_StopGrace = Grace,
                             .m_DrainBound = std::chrono::milliseconds(200),
--- a/tests/probed_harness.hpp
+++ b/tests/probed_harness.hpp
@@ -144,7 +144,10 @@
             const auto Hash = hashOf(Request);
             return Hash ? std::optional(RequestContent{.m_Hash = *Hash, .m_Digest = {*Hash, 1}})
                         : std::nullopt;
-          }};
+          },
+          .m_IsRelayed = [this](RequestId Request) { return m_RelayOf.contains(Request); }};
+      Context.m_Helpers.set(helpersOf(Vm, Vms));
+      Context.m_Reach.setServerCount(Servers);
       constexpr std::uint64_t AttemptsPerVm = 1'000'000;
       Context.m_NextAttempt = 1 + Vm * AttemptsPerVm;
       m_Dispatchers.push_back(std::make_unique<Dispatcher>(
@@ -182,6 +185,23 @@
     return Fleet;
   }
 
+  /// The other VMs of the data centre, and some of each other one.
+  std::vector<HelperVm> helpersOf(std::size_t Vm, std::size_t Vms) const {
+    constexpr std::size_t MaxRemote = 32;
+    std::map<std::string, std::size_t> Counts;
+    std::vector<HelperVm> Helpers;
+    for (std::size_t Step = 1; Step < Vms; ++Step) {
+      const std::size_t Other = (Vm + Step) % Vms;
+      const bool IsLocal = dataCenterOf(Other) == dataCenterOf(Vm);
+      if (IsLocal || Counts[dataCenterOf(Other)]++ < MaxRemote) {
+        Helpers.push_back({.m_Id = ServerId{static_cast<std::uint32_t>(FirstHelper + Other)},
+                           .m_Name = "vm" + std::to_string(Other),
+                           .m_IsLocal = IsLocal});
+      }
+    }
+    return Helpers;
+  }
+
   /// A VM learns that VMs have joined or left.
   void changeFleet(std::size_t Vm, FleetView Fleet) {
     Fleet.m_ChangedAt = m_Now;
@@ -248,7 +268,7 @@
     }
     std::vector<AttemptId> Lost;
     for (const auto &[Attempt, Running] : m_Running) {
-      if (Running.m_Vm == Vm) {
+      if (Running.m_Vm == Vm && raw(Running.m_Server) < FirstHelper) {
         Lost.push_back(Attempt);
       }
     }
@@ -283,12 +303,16 @@
     const RequestId Request{++m_LastRequest};
     m_ArrivedAt[Request] = m_Now;
     m_Contents[Request] = Content;
+    m_Kinds[Request] = Kind;
     Actions Out;
     m_Dispatchers[Vm]->arrive(Request, Kind, m_Now + m_Deadline, m_Now, Out);
     applyActions(Vm, Out);
     return Request;
   }
 
+  /// Requests that VMs have passed on to others.
+  std::size_t relayed() const { return m_RelayOf.size(); }
+
   void callerGone(RequestId Request) {
     Actions Out;
     m_Dispatchers[0]->callerGone(Request, m_Now, Out);
@@ -345,6 +369,7 @@
   /// Failures that other VMs were told of.
   std::size_t failureReports() const { return m_FailureReports; }
   TimePoint now() const { return m_Now; }
+  KindId kindOf(RequestId Request) const { return m_Kinds.at(Request); }
   /// What a request asks for; throws for an unknown one.
   std::uint64_t contentOf(RequestId Request) const { return m_Contents.at(Request); }
   /// When a request arrived; throws for an unknown one.
@@ -424,6 +449,9 @@
   Duration m_Deadline = milliseconds(800);
 
 private:
+  /// Id of the first VM as a helper.
+  static constexpr std::uint32_t FirstHelper = 1'000'000'000;
+
   enum class AttemptEnd : std::uint8_t { Finished, Cancelled, Crashed, NotSent, Lost };
 
   struct RunningAttempt {
@@ -458,6 +486,10 @@
       } else if (const auto *Final = std::get_if<kernel::Answer>(&Item)) {
         EXPECT_TRUE(m_Answers.emplace(Final->m_Request, *Final).second) << "answered twice";
         m_AnsweredAt[Final->m_Request] = m_Now;
+        if (const auto Relay = m_RelayOf.find(Final->m_Request); Relay != m_RelayOf.end()) {
+          schedule(milliseconds(1), [this, Attempt = Relay->second, Answered = *Final](
+                                        TimePoint Now) { endRelay(Attempt, Answered, Now); });
+        }
       } else if (const auto *Failed = std::get_if<TellServerFailure>(&Item)) {
         ++m_FailureReports;
         tellOthers(Vm, [this, Server = Failed->m_Server](std::size_t Other, TimePoint Now) {
@@ -476,6 +508,14 @@
                                                Now, Out);
           applyActions(Other, Out);
         });
+      } else if (const auto *Reach = std::get_if<AnnounceReach>(&Item)) {
+        const ServerId Helper{static_cast<std::uint32_t>(FirstHelper + Vm)};
+        tellOthers(
+            Vm, [this, Vm, Helper, IsCutOff = Reach->m_IsCutOff](std::size_t Other, TimePoint Now) {
+              if (m_IsAnnounced(Vm, Other)) {
+                m_Contexts[Other].m_Helpers.noteAnnounced(Helper, IsCutOff, Now);
+              }
+            });
       } else if (const auto *Crashed = std::get_if<AnnounceCrashReport>(&Item)) {
         announceCrashReport(Vm, Crashed->m_Report);
       } else if (const auto *Made = std::get_if<Decision>(&Item)) {
@@ -557,7 +597,64 @@
             .m_Slowdown = Fake.m_Slowdown};
   }
 
+  /// Passes a request on to another VM, which treats it as one of its own.
+  void relay(std::size_t Vm, const Dispatch &Wanted) {
+    const std::size_t Helper = raw(Wanted.m_Server) - FirstHelper;
+    m_Running.emplace(
+        Wanted.m_Attempt,
+        RunningAttempt{.m_Server = Wanted.m_Server, .m_Request = Wanted.m_Request, .m_Vm = Vm});
+    schedule(milliseconds(1), [this, Helper, Wanted](TimePoint Now) {
+      if (!m_Running.contains(Wanted.m_Attempt)) {
+        return;
+      }
+      const RequestId Request{++m_LastRequest};
+      m_RelayOf[Request] = Wanted.m_Attempt;
+      m_RelayRequests[Wanted.m_Attempt] = {Helper, Request};
+      m_Contents[Request] = m_Contents.at(Wanted.m_Request);
+      m_Kinds[Request] = m_Kinds.at(Wanted.m_Request);
+      m_ArrivedAt[Request] = Now;
+      Actions Out;
+      m_Dispatchers[Helper]->arrive(Request, m_Kinds.at(Wanted.m_Request), Wanted.m_Deadline, Now,
+                                    Out);
+      applyActions(Helper, Out);
+    });
+  }
+
+  void endRelay(AttemptId Attempt, const kernel::Answer &Answered, TimePoint Now) {
+    const auto Found = m_Running.find(Attempt);
+    if (Found == m_Running.end()) {
+      return;
+    }
+    const std::size_t Vm = Found->second.m_Vm;
+    m_Running.erase(Found);
+    AttemptEnded Ended{.m_Attempt = Attempt,
+                       .m_Result = Answered.m_Outcome == Outcome::Completed
+                                       ? AttemptResult::Completed
+                                   : Answered.m_Outcome == Outcome::NotRun ? AttemptResult::NotRun
+                                                                           : AttemptResult::Unknown,
+                       .m_Reply = Answered.m_Reply};
+    Actions Out;
+    m_Dispatchers[Vm]->attemptEnded(Ended, Now, Out);
+    applyActions(Vm, Out);
+  }
+
+  void cancelRelay(AttemptId Attempt) {
+    schedule(milliseconds(1), [this, Attempt](TimePoint Now) {
+      const auto Sent = m_RelayRequests.find(Attempt);
+      if (Sent != m_RelayRequests.end() && !m_Answers.contains(Sent->second.second)) {
+        Actions Out;
+        m_Dispatchers[Sent->second.first]->callerGone(Sent->second.second, Now, Out);
+        applyActions(Sent->second.first, Out);
+      }
+      endRelay(Attempt, {.m_Outcome = Outcome::Unknown}, Now);
+    });
+  }
+
   void dispatch(std::size_t Vm, const Dispatch &Wanted) {
+    if (raw(Wanted.m_Server) >= FirstHelper) {
+      relay(Vm, Wanted);
+      return;
+    }
     FakeServer &Fake = m_Servers.at(Wanted.m_Server);
     m_Running.emplace(
         Wanted.m_Attempt,
@@ -637,6 +734,10 @@
   void cancel(AttemptId Attempt) {
     const auto Found = m_Running.find(Attempt);
     ASSERT_NE(Found, m_Running.end());
+    if (raw(Found->second.m_Server) >= FirstHelper) {
+      cancelRelay(Attempt);
+      return;
+    }
     ++m_Servers.at(Found->second.m_Server).m_Cancelled;
     schedule(milliseconds(1),
              [this, Attempt](TimePoint Now) { endAttempt(Attempt, Now, AttemptEnd::Cancelled); });
@@ -720,6 +821,10 @@
   std::vector<AskedPause> m_Pauses;
   std::map<RequestId, std::uint64_t> m_Contents;
   std::map<std::size_t, Cut> m_Cuts;
+  std::map<RequestId, KindId> m_Kinds;
+  /// The attempt of another VM that a passed-on request belongs to, and the reverse.
+  std::map<RequestId, AttemptId> m_RelayOf;
+  std::map<AttemptId, std::pair<std::size_t, RequestId>> m_RelayRequests;
   std::vector<Crash> m_Crashes;
   std::vector<Decision> m_Decisions;
   std::uint64_t m_LastRequest = 0;
--- a/tests/unit-news.cpp
+++ b/tests/unit-news.cpp
@@ -102,6 +102,15 @@
   EXPECT_EQ(Received.m_Report.m_Crashes[0].m_Age, milliseconds(90));
 }
 
+TEST(News, WhetherAVmReachesTheServersArrives) {
+  const VmReach Received =
+      roundTrip(VmReach{.m_Ip = "10.1.0.7", .m_IsCutOff = true, .m_IsForRelay = true});
+  EXPECT_EQ(Received.m_Ip, "10.1.0.7");
+  EXPECT_TRUE(Received.m_IsCutOff);
+  EXPECT_TRUE(Received.m_IsForRelay);
+  EXPECT_FALSE(roundTrip(VmReach{}).m_IsCutOff);
+}
+
 RC_GTEST_PROP(News, ACorruptedReportOfCrashesGivesAMessageOrAnError,
               (std::uint16_t At, char Byte)) {
   CrashReport Report{.m_Content = {.m_Hash = 1, .m_Digest = {2, 3}}};
