--- a/include/vanillahill/core/crash_report.hpp
+++ b/include/vanillahill/core/crash_report.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// What VMs tell each other about a request that was running at backend servers when they ended.
+/// Report, exchanged between VMs, of the backend servers that crashed while they ran a request.
 #pragma once
 
 #include "vanillahill/core/ids.hpp"
@@ -13,7 +13,7 @@
 
 namespace vanillahill {
 
-/// Identifies what a caller asked for: the same for each copy of a request, on every VM.
+/// Identifies the content of a request: equal for all copies of it, on every VM.
 struct RequestContent {
   /// Fast hash; not safe against callers who look for collisions.
   std::uint64_t m_Hash = 0;
