--- a/include/vanillahill/kernel/server_reach.hpp
+++ b/include/vanillahill/kernel/server_reach.hpp
@@ -12,9 +12,9 @@
 
 namespace vanillahill::kernel {
 
-/// When many servers do not answer and none does, this VM has lost its links to them, or all of them
-/// are down, which it cannot tell. Kept for all servers together and for those of each service. Not
-/// thread safe.
+/// When many servers do not answer and none does, this VM has lost its links to them, or all of
+/// them are down, which it cannot tell. Kept for all servers together and for those of each
+/// service. Not thread safe.
 class ServerReach {
 public:
   /// Servers that did not answer, with no reply from any server since.
