--- a/src/kernel/probed/dispatcher_reach.cpp
+++ b/src/kernel/probed/dispatcher_reach.cpp
@@ -164,7 +164,13 @@
     return;
   }
   Pending.m_MayHaveRun |= Ended.m_Result == AttemptResult::Unknown;
-  if (Pending.m_Running.empty() && !Pending.m_Search) {
+  if (!Pending.m_Running.empty() || Pending.m_Search) {
+    return;
+  }
+  if (!Pending.m_MayHaveRun && Pending.m_Tried.empty() && !isUnreachable()) {
+    // The cut has ended meanwhile.
+    startSearch(Pending, SearchPurpose::FirstAttempt, Now, Out);
+  } else {
     giveUpRequest(Pending, Now, Out);
   }
 }
