Fleet client: logs tell on which way a configuration arrived and where its time went

The age of the configuration is a gauge in every deployment. One line for each version and VM.

Clock, timer and datagrams of the fleet client are passed in (FleetRuntime), so that tests can run a fleet on a paused clock.

--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -14,7 +14,7 @@
 #include "vanillahill/fleet/peers.hpp"
 #include "vanillahill/fleet/snapshot_fetcher.hpp"
 #include "vanillahill/kernel/events.hpp"
-#include "vanillahill/net/detail/datagrams.hpp"
+#include "vanillahill/net/detail/fleet_runtime.hpp"
 
 #include <optional>
 #include <random>
@@ -33,6 +33,16 @@
   bool m_IsNewEra = false;
 };
 
+/// How records reached this VM, for logs.
+struct RecordSource {
+  /// "read", "listing", "announcement" or "snapshot".
+  std::string_view m_Way;
+  /// IP of the VM that sent them; "store" for a read.
+  std::string_view m_From;
+  /// When the read or the fetch began, or the announcement arrived.
+  TimePoint m_BeganAt{};
+};
+
 /// Why a read of the store failed.
 struct StoreFailure {
   Error m_Error;
@@ -109,8 +119,7 @@
 /// Used from one thread.
 class FleetClient : public std::enable_shared_from_this<FleetClient> {
 public:
-  FleetClient(asio::io_context &Io, StoreAccess Store, std::shared_ptr<Datagrams> DatagramSocket,
-              FleetClientOptions Options);
+  FleetClient(FleetRuntime Runtime, StoreAccess Store, FleetClientOptions Options);
 
   void start();
   void close();
@@ -151,8 +160,8 @@
   bool mayJudgeKeys();
 
   /// \brief Time since the configuration was last known to be current; nothing when that is not
-  /// known, or when the deployment does not ask for it.
-  std::optional<Duration> proofAge() const;
+  /// known. Where callers' keys depend on it, the time for which that is proved.
+  std::optional<Duration> configurationAge() const;
 
   /// \brief Version of the configuration in force; 0 for none.
   std::uint64_t version() const { return m_Catalog.version(); }
@@ -175,11 +184,11 @@
   void noteEra(TimePoint Now);
   void logOutdated(std::string_view Source, std::uint64_t Era);
   void recordCatalogCurrent(std::optional<TimePoint> Previous, TimePoint Now);
-  bool applyRecords(fleet::Stream Which, const StoreRead &Read, std::vector<bool> &ShouldAnnounce,
-                    TimePoint Now);
-  bool applyOperatorRecords(const StoreRead &Read, std::vector<bool> &ShouldAnnounce,
-                            TimePoint Now);
-  bool applyNewestConfiguration(std::span<const fleet::Record> Records,
+  bool applyRecords(fleet::Stream Which, const StoreRead &Read, const RecordSource &Source,
+                    std::vector<bool> &ShouldAnnounce, TimePoint Now);
+  bool applyOperatorRecords(const StoreRead &Read, const RecordSource &Source,
+                            std::vector<bool> &ShouldAnnounce, TimePoint Now);
+  bool applyNewestConfiguration(std::span<const fleet::Record> Records, const RecordSource &Source,
                                 std::vector<bool> &ShouldAnnounce);
   bool hasEvacuations() const;
   bool applyEvacuation(const fleet::Record &Entry, bool IsNewEra, TimePoint Now);
@@ -187,7 +196,8 @@
   bool mayLackEvacuations(const fleet::StoreNews &Message) const;
   void addUnlistedEvacuations(std::vector<fleet::Record> &Listing) const;
   void logEvacuation(std::string_view DataCenter, bool HasBegun, TimePoint Now) const;
-  std::optional<bool> applyConfiguration(const std::string &Text);
+  std::optional<bool> applyConfiguration(const std::string &Text, const RecordSource &Source);
+  void noticeConfiguration(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now);
   bool applyServer(const fleet::Record &Entry, fleet::Removal Removed, bool IsLogged,
                    TimePoint Now);
   void announce(fleet::StoreNews Announcement, TimePoint AskedAt, TimePoint Now);
@@ -218,6 +228,8 @@
   void relayPending(TimePoint Now);
   void fetchSnapshot(TimePoint Now);
   void onSnapshot(const std::string &Ip, TimePoint AskedAt, const Result<std::string> &Frame);
+  void logSnapshot(const std::string &Ip, const fleet::Snapshot &Received, std::size_t FrameBytes,
+                   TimePoint AskedAt, TimePoint Now) const;
   void adoptSnapshot(const std::string &Ip, const fleet::Snapshot &Received, TimePoint AskedAt,
                      TimePoint Now);
 
@@ -233,9 +245,10 @@
   template <typename Message> void passOnIfRelay(const Message &Received);
 
   StoreAccess m_Store;
-  std::shared_ptr<Datagrams> m_DatagramSocket;
+  FleetRuntime m_Runtime;
   FleetClientOptions m_Options;
-  asio::steady_timer m_Timer;
+  /// When the next due task is run.
+  TimePoint m_TimerAt = TimePoint::max();
   fleet::Catalog m_Catalog;
   fleet::Follower m_Follower;
   fleet::ConfigurationProof m_Proof;
@@ -274,6 +287,15 @@
   /// VMs that were last passed to FleetClientOptions::m_OnHelpersChanged.
   std::vector<std::string> m_LocalHelpers;
   std::vector<std::string> m_RemoteHelpers;
+  /// A configuration that another VM announced and this one lacks.
+  struct NoticedConfiguration {
+    TimePoint m_At{};
+    std::string m_FromIp;
+  };
+  /// The first one since the configuration in force was taken.
+  std::optional<NoticedConfiguration> m_Noticed;
+  /// Version in the last log line about published settings.
+  std::uint64_t m_LoggedVersion = 0;
   /// Fleet size in the last log line about it.
   std::size_t m_LoggedFleetSize = 1;
   fleet::FailureThrottle m_FailureThrottle;
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -23,36 +23,27 @@
 constexpr Duration MaxPeerWait = 2 * PeerWait;
 /// A read that begins later than this after it was due gets a log line.
 constexpr Duration MinLoggedDelay = std::chrono::milliseconds(100);
-/// A snapshot frame is sent again for this long, as many VMs may fetch it at once.
-constexpr Duration SnapshotLifetime = std::chrono::milliseconds(100);
-
-/// An announcement of no records, which tells few VMs where they can be fetched.
-bool isOffer(const fleet::StoreNews &Message) {
-  return Message.m_IsPartial && Message.m_From == Message.m_To;
-}
 
 } // namespace
 
-FleetClient::FleetClient(asio::io_context &Io, StoreAccess Store,
-                         std::shared_ptr<Datagrams> DatagramSocket, FleetClientOptions Options)
-    : m_Store(std::move(Store)), m_DatagramSocket(std::move(DatagramSocket)),
-      m_Options(std::move(Options)), m_Timer(Io), m_Catalog(m_Options.m_Catalog),
-      m_Follower(m_Options.m_Follower), m_Proof(m_Options.m_RevokeBound),
-      m_Lapse(m_Options.m_Follower.m_Bound), m_Peers(m_Options.m_Peers),
-      m_Fetcher(m_Options.m_Follower.m_Seed), m_Random(m_Options.m_Follower.m_Seed) {}
+FleetClient::FleetClient(FleetRuntime Runtime, StoreAccess Store, FleetClientOptions Options)
+    : m_Store(std::move(Store)), m_Runtime(std::move(Runtime)), m_Options(std::move(Options)),
+      m_Catalog(m_Options.m_Catalog), m_Follower(m_Options.m_Follower),
+      m_Proof(m_Options.m_RevokeBound), m_Lapse(m_Options.m_Follower.m_Bound),
+      m_Peers(m_Options.m_Peers), m_Fetcher(m_Options.m_Follower.m_Seed),
+      m_Random(m_Options.m_Follower.m_Seed) {}
 
 void FleetClient::start() {
-  m_DatagramSocket->start(
-      [Self = weak_from_this()](std::string_view Ip, std::string_view Datagram) {
-        if (const auto Locked = Self.lock()) {
-          Locked->onDatagram(Ip, Datagram);
-        }
-      });
+  m_Runtime.m_Receive([Self = weak_from_this()](std::string_view Ip, std::string_view Datagram) {
+    if (const auto Locked = Self.lock()) {
+      Locked->onDatagram(Ip, Datagram);
+    }
+  });
   const bool HasSeeds =
       std::any_of(m_Options.m_Peers.m_SeedIps.begin(), m_Options.m_Peers.m_SeedIps.end(),
                   [this](const std::string &Ip) { return Ip != m_Options.m_Peers.m_SelfIp; });
   if (HasSeeds) {
-    m_StartedAt = SystemClock().now();
+    m_StartedAt = m_Runtime.m_Now();
     m_DecideFirstReadsAt = m_StartedAt + PeerWait;
     m_Follower.pauseUntil(*m_DecideFirstReadsAt);
   }
@@ -83,8 +74,7 @@
 
 void FleetClient::close() {
   m_Closed = true;
-  m_Timer.cancel();
-  m_DatagramSocket->close();
+  m_Runtime.m_Close();
 }
 
 void FleetClient::reconfigure(fleet::CatalogOptions Catalog, Duration Bound,
@@ -98,7 +88,7 @@
 }
 
 void FleetClient::runDueTasks() {
-  const auto Now = SystemClock().now();
+  const auto Now = m_Runtime.m_Now();
   observePauses(Now);
   const auto Returned = m_Catalog.evacuations().tick(Now);
   for (const std::string &DataCenter : Returned) {
@@ -139,7 +129,7 @@
 /// Detects that the process was paused; see ConfigurationProof.
 void FleetClient::observePauses(TimePoint Now) {
   if (m_Proof.isNeeded()) {
-    m_Proof.observe(Now, suspendedTime(), m_Timer.expiry());
+    m_Proof.observe(Now, suspendedTime(), m_TimerAt);
   }
 }
 
@@ -147,7 +137,7 @@
   if (!m_Proof.isNeeded()) {
     return true;
   }
-  const auto Now = SystemClock().now();
+  const auto Now = m_Runtime.m_Now();
   observePauses(Now);
   const bool IsValid = m_Proof.isValid(Now);
   if (IsValid == m_UnprovenSince.has_value()) {
@@ -161,8 +151,13 @@
   return IsValid;
 }
 
-std::optional<Duration> FleetClient::proofAge() const {
-  return m_Proof.isNeeded() ? m_Proof.age(SystemClock().now()) : std::nullopt;
+std::optional<Duration> FleetClient::configurationAge() const {
+  const auto Now = m_Runtime.m_Now();
+  if (m_Proof.isNeeded()) {
+    return m_Proof.age(Now);
+  }
+  const auto CurrentAt = m_Follower.currentAt(Stream::Configuration);
+  return CurrentAt ? std::optional(Now - *CurrentAt) : std::nullopt;
 }
 
 /// Logs a read that begins late although the store answers: another one was running.
@@ -187,17 +182,18 @@
   if (needsSnapshot() && !m_Fetcher.isFetching()) {
     Next = std::min(Next, m_Fetcher.nextAt());
   }
-  m_Timer.expires_at(Next);
-  m_Timer.async_wait([Self = shared_from_this()](ErrorCode Failure) {
-    if (!Failure && !Self->m_Closed) {
-      Self->runDueTasks();
+  m_TimerAt = Next;
+  m_Runtime.m_CallAt(Next, [Self = weak_from_this()] {
+    const auto Locked = Self.lock();
+    if (Locked && !Locked->m_Closed) {
+      Locked->runDueTasks();
     }
   });
 }
 
 void FleetClient::onRead(Stream Which, const std::optional<fleet::Position> &From,
                          TimePoint AskedAt, StoreResult Result) {
-  const auto Now = SystemClock().now();
+  const auto Now = m_Runtime.m_Now();
   observePauses(Now);
   if (!Result) {
     onReadFailed(Which, Result.error(), Now);
@@ -232,7 +228,9 @@
     addUnlistedEvacuations(Result->m_Records);
   }
   std::vector<bool> ShouldAnnounce;
-  const bool Changed = applyRecords(Which, *Result, ShouldAnnounce, Now);
+  const RecordSource Source{
+      .m_Way = Result->m_IsWhole ? "listing" : "read", .m_From = "store", .m_BeganAt = AskedAt};
+  const bool Changed = applyRecords(Which, *Result, Source, ShouldAnnounce, Now);
   announce(fleet::announcementOf(Read, m_Follower, Result->m_Records, ShouldAnnounce), AskedAt,
            Now);
   m_Follower.told(Read.range());
@@ -336,11 +334,18 @@
 }
 
 void FleetClient::publishSettings() {
-  m_SettingsFleetSize = m_DividedSize.note(m_Peers.fleetSize(), SystemClock().now());
+  m_SettingsFleetSize = m_DividedSize.note(m_Peers.fleetSize(), m_Runtime.m_Now());
   m_Catalog.setFleetSize(static_cast<std::uint32_t>(m_SettingsFleetSize));
+  const auto BeganAt = m_Runtime.m_Now();
   if (auto Settings = m_Catalog.settings()) {
     m_Options.m_OnSettings(std::move(Settings));
   }
+  if (m_Catalog.version() != m_LoggedVersion) {
+    m_LoggedVersion = m_Catalog.version();
+    observe::log(LogLevel::Info, "configuration_published",
+                 {{"version", std::to_string(m_LoggedVersion)},
+                  {"publish_ms", std::to_string(toMillis(m_Runtime.m_Now() - BeganAt))}});
+  }
 }
 
 void FleetClient::onDatagram(std::string_view Ip, std::string_view Datagram) {
@@ -351,7 +356,7 @@
     observe::logFault("datagram_refused", Fault);
     return;
   }
-  const auto Now = SystemClock().now();
+  const auto Now = m_Runtime.m_Now();
   observePauses(Now);
   std::visit(
       [&](const auto &Typed) {
@@ -399,191 +404,19 @@
     m_Catalog.releaseRemovals(Now);
   }
   if (IsMissing) {
+    noticeConfiguration(Ip, Message, Now);
     noteMissing(Ip, Message, Now);
   } else if (IsNew) {
     std::vector<bool> Ignored;
     const StoreRead Read{.m_To = Message.m_To,
                          .m_Records = Message.m_Records,
                          .m_IsNewEra = Message.m_From.m_Era < Message.m_To.m_Era};
-    if (applyRecords(Message.m_Stream, Read, Ignored, Now)) {
+    const RecordSource Source{.m_Way = "announcement", .m_From = Ip, .m_BeganAt = Now};
+    if (applyRecords(Message.m_Stream, Read, Source, Ignored, Now)) {
       publishSettings();
     }
   }
   runDueTasks();
 }
 
-/// Another VM announced records that are missing here: they are fetched soon.
-void FleetClient::noteMissing(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now) {
-  const bool IsUrgent = Message.m_IsForRelay || isOffer(Message);
-  m_Fetcher.announced(Ip, Message.m_Stream, Message.m_To, IsUrgent, Now);
-  if (Message.m_IsPartial) {
-    m_Follower.readUnlessFetched(Message.m_Stream, Message.m_To, Now);
-  } else {
-    m_Follower.readSoon(Message.m_Stream, Message.m_To, Now);
-  }
-}
-
-/// Offers fetched records to a few VMs of this data centre.
-void FleetClient::offer(Stream Which, TimePoint Now) {
-  const fleet::Position To = m_Follower.knownTo(Which).value_or(fleet::Position{});
-  const fleet::StoreNews Offer{.m_Sender = selfInfo(),
-                               .m_Stream = Which,
-                               .m_From = To,
-                               .m_To = To,
-                               .m_Age = Now - m_Follower.currentAt(Which).value_or(Now),
-                               .m_MayHaveLapsed = m_Lapse.mayHaveLapsed(Now),
-                               .m_IsSteady = m_Lapse.isSteady(Now),
-                               .m_IsPartial = true};
-  send(m_Peers.drawLocal(fleet::SnapshotFetcher::OffersPerVm), Offer);
-}
-
-std::string FleetClient::snapshotFrame(const fleet::SnapshotRequest &Wanted) {
-  const auto Now = SystemClock().now();
-  observePauses(Now);
-  if (!isKnown(Wanted)) {
-    return {};
-  }
-  // A frame without the newest configuration or evacuation would hide it from a VM that cannot
-  // read the store.
-  const bool HasNewestConfiguration =
-      m_SnapshotPositions.m_ConfigurationTo == m_Follower.known().m_ConfigurationTo;
-  if (!m_SnapshotFrame.empty() && m_SnapshotPositions.covers(Wanted) && HasNewestConfiguration &&
-      !m_Proof.wasSuspendedSince(m_SnapshotMadeAt) && Now - m_SnapshotMadeAt < SnapshotLifetime) {
-    return m_SnapshotFrame;
-  }
-  // The frame may be sent for some time, so its content is that much older at the end. What this VM
-  // does not take as a proof must be none for another one.
-  const auto AgeOf = [&](Stream Which) {
-    const TimePoint CurrentAt = m_Follower.currentAt(Which).value_or(Now);
-    return m_Proof.isNeeded() && Which == Stream::Configuration
-               ? m_Proof.provenAge(CurrentAt, Now) + SnapshotLifetime
-               : Now - CurrentAt + SnapshotLifetime;
-  };
-  fleet::Snapshot Content{.m_ConfigurationPosition =
-                              m_Follower.knownTo(Stream::Configuration).value_or(fleet::Position{}),
-                          .m_ConfigurationAge = AgeOf(Stream::Configuration),
-                          .m_ConfigurationText = m_ConfigurationText,
-                          .m_ServersPosition =
-                              m_Follower.knownTo(Stream::Servers).value_or(fleet::Position{}),
-                          .m_ServersAge = AgeOf(Stream::Servers)};
-  for (const auto &[Id, Text] : m_ServerTexts) {
-    Content.m_Servers.push_back({.m_Key = Id, .m_Value = Text});
-  }
-  if (hasEvacuations()) {
-    Content.m_Evacuated = m_Catalog.evacuations().lastingNames();
-  }
-  m_SnapshotFrame = fleet::encodeCompressed(Content);
-  m_SnapshotMadeAt = Now;
-  m_SnapshotPositions = {.m_ConfigurationTo = Content.m_ConfigurationPosition,
-                         .m_ServersTo = Content.m_ServersPosition};
-  return m_SnapshotFrame;
-}
-
-/// Whether another VM is known to have read more of the store than this one.
-bool FleetClient::needsSnapshot() const {
-  return m_Fetcher.hasWanted() ? !isKnown(m_Fetcher.wanted())
-                               : !m_Follower.isComplete() && m_Peers.hasLocalCatalog();
-}
-
-bool FleetClient::isKnown(const fleet::SnapshotRequest &Wanted) const {
-  return m_Follower.isComplete() && m_Follower.known().covers(Wanted);
-}
-
-/// Fetches the snapshot of another VM, because this one has no catalog yet or the store does not
-/// answer.
-void FleetClient::fetchSnapshot(TimePoint Now) {
-  if (!m_Fetcher.mayStart(Now)) {
-    return;
-  }
-  auto Source = m_Fetcher.drawHolder(m_Follower.known());
-  if (!Source) {
-    Source = m_Peers.drawSnapshotSource();
-  }
-  if (!Source) {
-    return;
-  }
-  m_Fetcher.started();
-  m_Options.m_FetchSnapshot(
-      *Source, m_Fetcher.wanted(),
-      [Self = weak_from_this(), Ip = *Source, Now](const Result<std::string> &Frame) {
-        const auto Locked = Self.lock();
-        if (Locked && !Locked->m_Closed) {
-          Locked->onSnapshot(Ip, Now, Frame);
-        }
-      });
-}
-
-void FleetClient::onSnapshot(const std::string &Ip, TimePoint AskedAt,
-                             const Result<std::string> &Frame) {
-  const auto Now = SystemClock().now();
-  auto Message = Frame ? fleet::decodeNews(*Frame) : Result<fleet::News>(Frame.error());
-  if (Message && !std::holds_alternative<fleet::Snapshot>(*Message)) {
-    Message = Error{Errc::PeerFrameMalformed, "fetch snapshot", Ip, "not a snapshot"};
-  }
-  // After a snapshot without the evacuations the next fetch waits, so that this VM can read the
-  // store: VMs of an earlier version would send the same again and again.
-  const bool IsComplete =
-      Message && (!hasEvacuations() || std::get<fleet::Snapshot>(*Message).m_Evacuated);
-  m_Fetcher.ended(Ip, IsComplete, Now);
-  if (!Message) {
-    observe::logFault("snapshot_failed", Message.error());
-  } else {
-    adoptSnapshot(Ip, std::get<fleet::Snapshot>(*Message), AskedAt, Now);
-    relayPending(Now);
-  }
-  runDueTasks();
-}
-
-void FleetClient::adoptSnapshot(const std::string &Ip, const fleet::Snapshot &Received,
-                                TimePoint AskedAt, TimePoint Now) {
-  const auto ConfigurationBefore = m_Follower.knownTo(Stream::Configuration);
-  bool Changed = !Received.m_ConfigurationText.empty() &&
-                 applyConfiguration(Received.m_ConfigurationText).value_or(false);
-  // Without the evacuations, the stream is not known: this VM reads it.
-  if (!hasEvacuations() || Received.m_Evacuated) {
-    if (Received.m_Evacuated &&
-        !m_Follower.knows(Stream::Configuration, Received.m_ConfigurationPosition)) {
-      const bool IsNewEra = ConfigurationBefore &&
-                            ConfigurationBefore->m_Era < Received.m_ConfigurationPosition.m_Era;
-      Changed = adoptEvacuated(*Received.m_Evacuated, IsNewEra, Now) || Changed;
-    }
-    m_Follower.adopt(Stream::Configuration, Received.m_ConfigurationPosition,
-                     AskedAt - Received.m_ConfigurationAge);
-    if (m_Follower.currentAt(Stream::Configuration) == AskedAt - Received.m_ConfigurationAge) {
-      m_Proof.note(AskedAt - Received.m_ConfigurationAge, false, Now);
-    }
-  }
-  if (m_Fetcher.wanted().m_ConfigurationTo > ConfigurationBefore.value_or(fleet::Position{})) {
-    offer(Stream::Configuration, Now);
-  }
-  noteEra(Now);
-  const auto KnownTo = m_Follower.knownTo(Stream::Servers);
-  const bool IsOutdated = Received.m_ServersPosition.m_Era < m_Follower.era();
-  if (IsOutdated) {
-    logOutdated(Ip, Received.m_ServersPosition.m_Era);
-  } else if (!KnownTo || Received.m_ServersPosition > *KnownTo) {
-    const auto Previous = m_Follower.currentAt(Stream::Servers);
-    m_Follower.adopt(Stream::Servers, Received.m_ServersPosition, AskedAt - Received.m_ServersAge);
-    if (m_Fetcher.wanted().m_ServersTo > KnownTo.value_or(fleet::Position{})) {
-      offer(Stream::Servers, Now);
-    }
-    noteEra(Now);
-    recordCatalogCurrent(Previous, Now);
-    StoreRead Listing{.m_To = Received.m_ServersPosition,
-                      .m_Records = Received.m_Servers,
-                      .m_IsWhole = true,
-                      .m_IsNewEra = KnownTo && KnownTo->m_Era < Received.m_ServersPosition.m_Era};
-    fleet::addUnlisted(m_Catalog, Listing.m_Records);
-    std::vector<bool> Ignored;
-    Changed = applyRecords(Stream::Servers, Listing, Ignored, Now) || Changed;
-  }
-  observe::log(LogLevel::Info, "snapshot_taken",
-               {{"from", Ip},
-                {"version", std::to_string(m_Catalog.version())},
-                {"servers_age_ms", std::to_string(toMillis(Received.m_ServersAge))}});
-  if (Changed) {
-    publishSettings();
-  }
-}
-
 } // namespace vanillahill::net
--- a/src/net/fleet_client_peers.cpp
+++ b/src/net/fleet_client_peers.cpp
@@ -162,7 +162,7 @@
 
 /// Passes on which VMs share the work, whenever that has changed.
 void FleetClient::publishFleet() {
-  const bool MayTakeOver = m_MajorityGuard.mayTakeOver(m_Peers.localSize(), SystemClock().now());
+  const bool MayTakeOver = m_MajorityGuard.mayTakeOver(m_Peers.localSize(), m_Runtime.m_Now());
   if (m_Peers.changes() == m_PublishedFleet || !MayTakeOver || !m_Options.m_OnFleetChanged) {
     return;
   }
@@ -192,7 +192,7 @@
 }
 
 void FleetClient::sendDueHellos() {
-  for (const fleet::DueHello &Due : m_Peers.dueHellos(SystemClock().now())) {
+  for (const fleet::DueHello &Due : m_Peers.dueHellos(m_Runtime.m_Now())) {
     sendHello(Due.m_Ip, Due.m_AsksForPeers);
   }
 }
@@ -203,7 +203,7 @@
 
 /// Local VMs only: these send to the same servers first.
 void FleetClient::tellServerFailed(ServerId Server) {
-  if (m_FailureThrottle.mayAnnounce(Server, SystemClock().now())) {
+  if (m_FailureThrottle.mayAnnounce(Server, m_Runtime.m_Now())) {
     send(m_Peers.local(), fleet::ServerFailed{.m_Server = Server});
   }
 }
@@ -249,7 +249,7 @@
   const auto Datagrams = fleet::packNews(Message, ++m_LastSplitMessage);
   for (const std::string &Ip : Ips) {
     for (const std::string &Datagram : Datagrams) {
-      m_DatagramSocket->send(Ip, Datagram);
+      m_Runtime.m_Send(Ip, Datagram);
     }
   }
 }
--- a/src/net/fleet_client_records.cpp
+++ b/src/net/fleet_client_records.cpp
@@ -19,10 +19,10 @@
 
 } // namespace
 
-bool FleetClient::applyRecords(Stream Which, const StoreRead &Read,
+bool FleetClient::applyRecords(Stream Which, const StoreRead &Read, const RecordSource &Source,
                                std::vector<bool> &ShouldAnnounce, TimePoint Now) {
   if (Which == Stream::Configuration) {
-    return applyOperatorRecords(Read, ShouldAnnounce, Now);
+    return applyOperatorRecords(Read, Source, ShouldAnnounce, Now);
   }
   std::size_t ChangedCount = 0;
   const bool LogsEach = !Read.m_IsWhole;
@@ -49,6 +49,7 @@
 /// announced: a VM that is behind would spend its processor and its link on them.
 /// \return whether the configuration in force changed
 bool FleetClient::applyNewestConfiguration(std::span<const fleet::Record> Records,
+                                           const RecordSource &Source,
                                            std::vector<bool> &ShouldAnnounce) {
   ShouldAnnounce.assign(Records.size(), false);
   for (std::size_t Index = Records.size(); Index > 0; --Index) {
@@ -56,7 +57,7 @@
     if (Entry.m_Key != m_Store.m_ConfigurationKey || !Entry.m_Value) {
       continue;
     }
-    if (const auto Applied = applyConfiguration(*Entry.m_Value)) {
+    if (const auto Applied = applyConfiguration(*Entry.m_Value, Source)) {
       ShouldAnnounce[Index - 1] = true;
       return *Applied;
     }
@@ -65,7 +66,9 @@
 }
 
 /// \return whether the configuration is newer than the one in force; nothing for an invalid one
-std::optional<bool> FleetClient::applyConfiguration(const std::string &Text) {
+std::optional<bool> FleetClient::applyConfiguration(const std::string &Text,
+                                                    const RecordSource &Source) {
+  const auto ReceivedAt = m_Runtime.m_Now();
   auto Decoded = m_Store.m_DecodeConfiguration(Text);
   if (!Decoded) {
     observe::logFault("configuration_refused", Decoded.error());
@@ -76,10 +79,30 @@
     return false;
   }
   m_ConfigurationText = Text;
-  observe::log(LogLevel::Info, "configuration_taken", {{"version", std::to_string(Version)}});
+  const auto Now = m_Runtime.m_Now();
+  const auto Noticed = std::exchange(m_Noticed, std::nullopt)
+                           .value_or(NoticedConfiguration{.m_At = ReceivedAt,
+                                                          .m_FromIp = std::string(Source.m_From)});
+  observe::log(LogLevel::Info, "configuration_taken",
+               {{"version", std::to_string(Version)},
+                {"way", std::string(Source.m_Way)},
+                {"from", std::string(Source.m_From)},
+                {"bytes", std::to_string(Text.size())},
+                {"noticed_ms", std::to_string(toMillis(Now - Noticed.m_At))},
+                {"noticed_from", Noticed.m_FromIp},
+                {"transfer_ms", std::to_string(toMillis(ReceivedAt - Source.m_BeganAt))},
+                {"decode_ms", std::to_string(toMillis(Now - ReceivedAt))}});
   return true;
 }
 
+/// Notes that another VM knows a configuration that is missing here.
+void FleetClient::noticeConfiguration(std::string_view Ip, const fleet::StoreNews &Message,
+                                      TimePoint Now) {
+  if (Message.m_Stream == Stream::Configuration && !m_Noticed) {
+    m_Noticed = {.m_At = Now, .m_FromIp = std::string(Ip)};
+  }
+}
+
 /// \param Removed why a record without a value is absent
 /// \param IsLogged a change gets a log line of its own
 bool FleetClient::applyServer(const fleet::Record &Entry, fleet::Removal Removed, bool IsLogged,
@@ -112,9 +135,9 @@
 }
 
 /// Applies the configuration and the evacuations among the records of the operator.
-bool FleetClient::applyOperatorRecords(const StoreRead &Read, std::vector<bool> &ShouldAnnounce,
-                                       TimePoint Now) {
-  bool Changed = applyNewestConfiguration(Read.m_Records, ShouldAnnounce);
+bool FleetClient::applyOperatorRecords(const StoreRead &Read, const RecordSource &Source,
+                                       std::vector<bool> &ShouldAnnounce, TimePoint Now) {
+  bool Changed = applyNewestConfiguration(Read.m_Records, Source, ShouldAnnounce);
   if (!hasEvacuations()) {
     return Changed;
   }
--- a/tests/unit-fleet-client.cpp
+++ b/tests/unit-fleet-client.cpp
@@ -138,7 +138,7 @@
                        .m_DecodeEvacuation = &decodeEvacuation,
                        .m_EvacuationKey = &evacuationKey};
     auto Client = std::make_shared<FleetClient>(
-        m_Io, std::move(Access), std::move(PeerSocket),
+        systemRuntime(m_Io, std::move(PeerSocket)), std::move(Access),
         FleetClientOptions{
             .m_Follower = {.m_Bound = Bound},
             .m_Peers = {.m_SelfIp = Ip,
