--- a/include/vanillahill/fleet/follower.hpp
+++ b/include/vanillahill/fleet/follower.hpp
@@ -6,6 +6,8 @@
 #include "vanillahill/core/time.hpp"
 #include "vanillahill/fleet/position.hpp"
 #include "vanillahill/fleet/snapshot_request.hpp"
+#include "vanillahill/fleet/standing_read.hpp"
+#include "vanillahill/fleet/vm_info.hpp"
 
 #include <algorithm>
 #include <array>
@@ -46,12 +48,26 @@
   /// When the read was sent: the range holds everything that the store had acknowledged by then.
   TimePoint m_AskedAt{};
   std::vector<Record> m_Records;
+  /// For how long after m_AskedAt the store held the read, since it had no further record.
+  Duration m_HeldFor{};
+  /// Rank of the reader; nothing unless it keeps a standing read.
+  std::optional<ReaderRank> m_KeeperRank;
+
+  /// \brief When the store had no further record. Not a proof: held reads may miss records during a
+  /// disturbance of the store.
+  TimePoint currentAt() const { return m_AskedAt + m_HeldFor; }
 };
 
 struct FollowerOptions {
   /// Every VM must know a record within this time after the store acknowledged it.
   Duration m_Bound = std::chrono::seconds(2);
   std::uint64_t m_Seed = 0;
+  /// Rate of this VM's link; 0 when it is not known.
+  double m_LinkBitsPerSecond = 0.0;
+  /// See StandingRead; nothing when the store cannot hold a read.
+  std::optional<ReaderRank> m_Rank;
+
+  std::uint32_t linkClass() const { return m_Rank ? m_Rank->m_LinkClass : VmInfo::UnknownLink; }
 };
 
 /// Reads a stream when no VM is known to have read it recently. Each VM adds a random delay to the
@@ -63,6 +79,15 @@
   static constexpr double ReadPeriodShare = 0.3;
   /// Largest random delay added to the read period, as a share of the bound.
   static constexpr double ReadSpreadShare = 0.25;
+  /// Time after which a stream is read again while another VM keeps a standing read of it, as a
+  /// share of the bound: its next announcement is due before. The second one is for VMs that get
+  /// long records first.
+  static constexpr double KeptPeriodShare = StandingRead::HoldShare + 0.1;
+  static constexpr double KeptPeriodShareOfFirst = StandingRead::HoldShare + 0.06;
+  /// Shortest time between two standing reads of this VM, as a share of the bound.
+  static constexpr double MinStandingPeriodShare = 0.02;
+  /// Largest random delay before this VM replaces the keeper of the standing read.
+  static constexpr double ReplaceSpreadShare = 0.05;
   /// Average number of VMs whose random delay is in the first half of the spread. With more,
   /// several would read before the first one's announcement reaches them; with fewer, there would
   /// often be none.
@@ -98,7 +123,10 @@
   explicit Follower(FollowerOptions Options);
 
   /// \brief Replaces FollowerOptions::m_Bound.
-  void setBound(Duration Bound) { m_Options.m_Bound = Bound; }
+  void setBound(Duration Bound) {
+    m_Options.m_Bound = Bound;
+    m_Standing.setBound(Bound);
+  }
 
   /// \brief Sets the number of VMs in the fleet and in the data centre, including this one.
   void setFleetSize(std::size_t Vms, std::size_t LocalVms) {
@@ -106,6 +134,9 @@
     m_LocalVms = LocalVms;
   }
 
+  /// \brief Sets whether this VM is one of those of its data centre that get long records first.
+  void setIsFirst(bool IsFirst) { m_IsFirst = IsFirst; }
+
   /// \brief Where the part of a range begins that no VM is known to have announced.
   /// \return the position of its first record; the end of the range when all was announced
   Position untoldFrom(const RecordRange &Range) const;
@@ -129,6 +160,22 @@
   /// \return the stream to read
   std::optional<Stream> nextRead(TimePoint Now);
 
+  /// \brief Whether a read of a stream runs that may bring records at any moment.
+  bool isReading(Stream Which) const { return state(Which).m_ReadingSince.has_value(); }
+
+  /// \brief For how long the store may hold the read that nextRead() has started; zero unless it is
+  /// a standing read.
+  Duration holdTime(Stream Which) const { return state(Which).m_HoldTime; }
+
+  /// \brief For how long the store held a read.
+  /// \param AnsweredAfter time from the read's begin to the first byte of its answer
+  Duration heldFor(Stream Which, Duration AnsweredAfter) const;
+
+  /// \brief Rank of this VM while it keeps the standing read.
+  std::optional<ReaderRank> keeperRank(TimePoint Now) const {
+    return m_Standing.isKeeper(Now) ? m_Options.m_Rank : std::nullopt;
+  }
+
   /// \brief When the next read of a stream is due.
   TimePoint dueAt(Stream Which) const { return state(Which).m_NextReadAt; }
 
@@ -176,8 +223,10 @@
   /// \brief Reports that a read succeeded.
   /// \param To position at which the next read begins
   /// \param AskedAt when the read was sent
+  /// \param HeldFor see heldFor()
   /// \return whether the store had been unreachable until now
-  bool readSucceeded(Stream Which, const Position &To, TimePoint AskedAt, TimePoint Now);
+  bool readSucceeded(Stream Which, const Position &To, TimePoint AskedAt, TimePoint Now,
+                     Duration HeldFor = {});
 
   /// \brief Reports that a read failed.
   /// \param IsPositionLost the store no longer has the position: a listing is read next
@@ -202,10 +251,16 @@
   /// \param To position behind the last record
   void readSoon(Stream Which, const Position &To, TimePoint Now);
 
+  /// \brief Makes a read of a stream due at once: records that are too long for an announcement are
+  /// at the store, and this VM is to read them for the others of its data centre.
+  void readAtOnce(Stream Which, const Position &To, TimePoint Now);
+
   /// \brief Like readSoon(), for records that are too long for an announcement: VMs fetch them from
   /// each other, and those that have not got them read the store at a random time. The regular read
   /// is postponed until then.
-  void readUnlessFetched(Stream Which, const Position &To, TimePoint Now);
+  /// \param MissingFrom the store did not have the records before this time, as far as is known
+  void readUnlessFetched(Stream Which, const Position &To, TimePoint Now,
+                         TimePoint MissingFrom = TimePoint::min());
 
   /// \brief Number of consecutive failed reads.
   std::uint32_t failures() const { return m_Failures; }
@@ -226,6 +281,10 @@
     std::optional<TimePoint> m_ReadBy;
     /// Position up to which some VM announced the records to all others.
     Position m_AnnouncedTo;
+    /// For how long the store may hold the running or last read.
+    Duration m_HoldTime{};
+    /// Time that the last held read took beyond the time for which it was held.
+    Duration m_RoundTrip{};
     /// When the running read began; nothing while none runs.
     std::optional<TimePoint> m_ReadingSince;
     /// Where the running or last read began; nothing for a listing.
@@ -236,7 +295,12 @@
   const StreamState &state(Stream Which) const {
     return m_Streams[static_cast<std::size_t>(Which)];
   }
-  void scheduleRead(StreamState &State);
+  void scheduleRead(Stream Which, TimePoint Now);
+  Duration shareOfBound(double Share) const {
+    return std::chrono::duration_cast<Duration>(m_Options.m_Bound * Share);
+  }
+  /// \return for how long the store may hold a read that begins now
+  Duration holdTimeAt(Stream Which, TimePoint Now) const;
   /// \return whether a listing must be read, since the store's position is another one
   bool isPositionLost(const StreamState &State) const;
   /// \return when a read of the stream may begin, as far as reads that run now are concerned
@@ -246,6 +310,8 @@
 
   FollowerOptions m_Options;
   std::mt19937_64 m_Random;
+  /// Of the configuration: the records of servers change all the time, so that none is held.
+  StandingRead m_Standing;
   std::array<StreamState, StreamCount> m_Streams;
   std::uint64_t m_Era = 0;
   /// Something of an earlier era was reported in this one.
@@ -253,6 +319,7 @@
   std::uint32_t m_Failures = 0;
   std::size_t m_FleetSize = 1;
   std::size_t m_LocalVms = 1;
+  bool m_IsFirst = false;
   /// Back-off after failed reads: no read starts before this time.
   TimePoint m_PausedUntil{};
 };
--- a/include/vanillahill/fleet/news.hpp
+++ b/include/vanillahill/fleet/news.hpp
@@ -46,6 +46,9 @@
   Position m_To;
   /// Time since the read was sent.
   Duration m_Age{};
+  /// See RecordRange; zero and nothing from a VM of an earlier version.
+  Duration m_HeldFor{};
+  std::optional<ReaderRank> m_KeeperRank;
   /// As far as the sender knows, records may have lapsed during an outage of the store; see
   /// LapseWatch.
   bool m_MayHaveLapsed = false;
@@ -57,6 +60,11 @@
   /// sender or read them from the store. With an empty range, the sender offers everything before
   /// the range, which it has fetched itself.
   bool m_IsPartial = false;
+  /// With m_IsPartial: the sender knows that the records are at the store, and does not have them
+  /// yet. A VM of an earlier version takes it for one that has them.
+  bool m_IsNotice = false;
+  /// With m_IsNotice: IP of a VM of another data centre that has the records; may be empty.
+  std::string m_HolderIp;
 };
 
 /// The sender observed the failure of a backend server.
--- a/include/vanillahill/fleet/peers.hpp
+++ b/include/vanillahill/fleet/peers.hpp
@@ -130,6 +130,13 @@
   /// \brief Whether no other VM is known.
   bool isAlone() const { return m_Local.empty() && m_Remote.empty(); }
 
+  /// \brief Number of VMs of this data centre with a faster link than this VM; among equal links
+  /// the addresses decide.
+  std::size_t localRank(std::uint32_t LinkClass) const;
+
+  /// \brief Number of other VMs of this data centre whose link is of a class or faster.
+  std::size_t localWithLink(std::uint32_t LinkClass) const;
+
   /// \brief Whether a local VM is known to have a catalog.
   bool hasLocalCatalog() const;
 
@@ -150,6 +157,8 @@
     TimePoint m_LastHeard{};
     bool m_HasCatalog = false;
     std::uint32_t m_Capabilities = 0;
+    /// See VmInfo.
+    std::uint32_t m_LinkClass = VmInfo::UnknownLink;
   };
   struct RemoteGroup {
     std::uint32_t m_Vms = 0;
--- a/include/vanillahill/fleet/snapshot_fetcher.hpp
+++ b/include/vanillahill/fleet/snapshot_fetcher.hpp
@@ -4,7 +4,9 @@
 
 #include "vanillahill/fleet/follower.hpp"
 #include "vanillahill/fleet/snapshot_request.hpp"
+#include "vanillahill/fleet/vm_info.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <random>
 #include <string>
@@ -23,9 +25,19 @@
   static constexpr std::size_t MaxHolders = 8;
   /// Number of VMs to which a VM offers what it has fetched.
   static constexpr std::size_t OffersPerVm = 4;
-  /// Limit on snapshots that a VM sends at the same time: one that is refused asks another VM, and
-  /// the few that are served become sources sooner.
-  static constexpr std::size_t MaxTransfers = 2;
+  /// Bounds of the snapshots that a VM sends at the same time: one that is refused asks another VM,
+  /// and the few that are served become sources sooner.
+  static constexpr std::size_t MinTransfers = 2;
+  static constexpr std::size_t MaxTransfers = 24;
+  /// Rate that each of several snapshots must have on the sender's link, in bits per second.
+  static constexpr double TransferBitsPerSecond = 10e6;
+
+  /// \brief Limit on the snapshots that a VM sends at the same time.
+  /// \param LinkBitsPerSecond rate of its link; 0 when it is not known
+  static std::size_t maxTransfers(double LinkBitsPerSecond) {
+    return std::clamp(static_cast<std::size_t>(LinkBitsPerSecond / TransferBitsPerSecond),
+                      MinTransfers, MaxTransfers);
+  }
   /// Upper limit of the random delay before an announced snapshot is fetched, so that not all VMs
   /// of a data centre ask the announcer at the same time.
   static constexpr Duration MaxDelay = std::chrono::milliseconds(250);
@@ -40,8 +52,9 @@
   /// \param To position behind the last of them
   /// \param IsOffer the VM speaks to few others, or waits for this VM to relay: the fetch is due at
   /// once
-  void announced(std::string_view Ip, Stream Which, const Position &To, bool IsOffer,
-                 TimePoint Now);
+  /// \param LinkClass that of the VM; see ReaderRank
+  void announced(std::string_view Ip, Stream Which, const Position &To, bool IsOffer, TimePoint Now,
+                 std::uint32_t LinkClass = VmInfo::UnknownLink);
 
   /// \brief Positions up to which records are known to exist; the first position for none.
   const SnapshotRequest &wanted() const { return m_Wanted; }
@@ -55,7 +68,8 @@
   /// \brief Earliest time of the next fetch.
   TimePoint nextAt() const { return m_NextAt; }
 
-  /// \brief A random VM that is known to have all wanted records that are missing here.
+  /// \brief A random VM that is known to have all wanted records that are missing here, among those
+  /// with the fastest links.
   /// \param Known what this VM knows
   /// \return nothing when none is known, or when the last one was busy: any other VM may have
   /// fetched the records by now
@@ -72,8 +86,11 @@
   struct Holder {
     std::string m_Ip;
     SnapshotRequest m_Has;
+    std::uint32_t m_LinkClass = VmInfo::UnknownLink;
   };
 
+  void forgetHolder();
+
   std::mt19937_64 m_Random;
   SnapshotRequest m_Wanted;
   /// In the order of their last announcement.
--- a/include/vanillahill/fleet/vm_info.hpp
+++ b/include/vanillahill/fleet/vm_info.hpp
@@ -28,6 +28,11 @@
   /// Zero for a VM of a version without them.
   std::uint32_t m_Capabilities = 0;
 
+  /// See ReaderRank; UnknownLink for a VM of a version that does not tell it.
+  std::uint32_t m_LinkClass = UnknownLink;
+
+  static constexpr std::uint32_t UnknownLink = 255;
+
   bool can(std::uint32_t Capability) const { return (m_Capabilities & Capability) != 0; }
 };
 
--- a/include/vanillahill/net/detail/admin_server.hpp
+++ b/include/vanillahill/net/detail/admin_server.hpp
@@ -3,6 +3,7 @@
 /// metrics and status need a token unless they are configured as open.
 #pragma once
 
+#include "vanillahill/fleet/snapshot_fetcher.hpp"
 #include "vanillahill/fleet/snapshot_request.hpp"
 #include "vanillahill/net/detail/types.hpp"
 #include "vanillahill/observe/metrics.hpp"
@@ -19,6 +20,8 @@
   /// The frame of a snapshot for another VM, empty when it cannot be given; not served when the
   /// function is empty.
   std::function<std::string(const fleet::SnapshotRequest &)> m_Snapshot;
+  /// Limit on the snapshots that are sent at the same time.
+  std::size_t m_MaxTransfers = fleet::SnapshotFetcher::MinTransfers;
 };
 
 /// Access rules of an admin address.
--- a/include/vanillahill/net/detail/fleet_client.hpp
+++ b/include/vanillahill/net/detail/fleet_client.hpp
@@ -31,6 +31,8 @@
   bool m_IsWhole = false;
   /// The records are the difference from what was known in an earlier era.
   bool m_IsNewEra = false;
+  /// Time from the begin of the read to the first byte of its answer.
+  Duration m_AnsweredAfter{};
 };
 
 /// How records reached this VM, for logs.
@@ -54,11 +56,20 @@
 
 using StoreResult = boost::system::result<StoreRead, StoreFailure>;
 using StoreReadDone = std::function<void(StoreResult)>;
+/// Called with the end of the stream, the length of the answer in bytes, and
+/// StoreRead::m_AnsweredAfter.
+using StoreReadBegun =
+    std::function<void(const fleet::Position &To, std::uint64_t Bytes, Duration AnsweredAfter)>;
 
 /// The store as a fleet client uses it: how it is read, and how its records are decoded.
 struct StoreAccess {
-  /// Reads a stream from a position, or the newest record of every key without one.
-  std::function<void(fleet::Stream, std::optional<std::uint64_t>, StoreReadDone)> m_Read;
+  /// Reads a stream from a position, or the newest record of every key without one. The store may
+  /// hold the read for a time while it has no record from the position on.
+  /// OnBegun is called when the answer begins with the end of the stream, long before its last
+  /// byte.
+  std::function<void(fleet::Stream, std::optional<std::uint64_t> From, Duration HoldTime,
+                     StoreReadBegun OnBegun, StoreReadDone)>
+      m_Read;
   Result<fleet::Configuration> (*m_DecodeConfiguration)(std::string_view Text) = nullptr;
   Result<fleet::ServerEntry> (*m_DecodeServer)(std::string_view Id,
                                                std::string_view Text) = nullptr;
@@ -221,6 +232,13 @@
   void handleMessage(std::string_view Ip, const fleet::Snapshot &Message, TimePoint Now);
   void relay(fleet::StoreNews Message, TimePoint AskedAt, TimePoint Now);
 
+  void onNotice(std::string_view Ip, const fleet::StoreNews &Message, bool IsMissing,
+                TimePoint Now);
+  void onReadBegun(const fleet::RecordRange &Begun, std::uint64_t Bytes, Duration AnsweredAfter);
+  void giveNotice(const fleet::Position &To, TimePoint AskedAt, Duration HeldFor);
+  void passHolder(std::string_view HolderIp, const fleet::StoreNews &Message);
+  bool isFirstInDataCenter() const;
+  bool readsForOthers() const;
   bool needsSnapshot() const;
   bool isKnown(const fleet::SnapshotRequest &Wanted) const;
   void noteMissing(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now);
@@ -260,6 +278,8 @@
   fleet::Peers m_Peers;
   fleet::PieceCollector m_Pieces;
   fleet::SnapshotFetcher m_Fetcher;
+  /// Up to where records of the configuration were noticed to others of this data centre.
+  fleet::Position m_NoticedTo;
   /// The texts of the configuration in force and of the newest record of each server, as read from
   /// the store, for the snapshots that other VMs fetch.
   std::string m_ConfigurationText;
--- a/src/fleet/announcement.cpp
+++ b/src/fleet/announcement.cpp
@@ -35,7 +35,9 @@
   return {.m_Stream = Announcement.m_Stream,
           .m_From = Announcement.m_From,
           .m_To = Announcement.m_To,
-          .m_AskedAt = Now - Announcement.m_Age};
+          .m_AskedAt = Now - Announcement.m_Age,
+          .m_HeldFor = Announcement.m_HeldFor,
+          .m_KeeperRank = Announcement.m_KeeperRank};
 }
 
 void addUnlisted(const Catalog &Known, std::vector<Record> &Listing) {
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -4,7 +4,8 @@
 
 namespace vanillahill::fleet {
 
-Follower::Follower(FollowerOptions Options) : m_Options(Options), m_Random(Options.m_Seed) {}
+Follower::Follower(FollowerOptions Options)
+    : m_Options(Options), m_Random(Options.m_Seed), m_Standing(Options.m_Rank, Options.m_Bound) {}
 
 std::optional<Stream> Follower::nextRead(TimePoint Now) {
   if (Now < m_PausedUntil) {
@@ -21,24 +22,32 @@
   if (Next) {
     state(*Next).m_ReadingSince = Now;
     state(*Next).m_ReadFrom = position(*Next);
+    state(*Next).m_HoldTime = holdTimeAt(*Next, Now);
   }
   return Next;
 }
 
+Duration Follower::holdTimeAt(Stream Which, TimePoint Now) const {
+  const bool IsHeld = Which == Stream::Configuration && position(Which) && m_Standing.isKeeper(Now);
+  return IsHeld ? m_Standing.holdTime() : Duration::zero();
+}
+
+Duration Follower::heldFor(Stream Which, Duration AnsweredAfter) const {
+  const StreamState &State = state(Which);
+  return std::clamp(AnsweredAfter - State.m_RoundTrip, Duration::zero(), State.m_HoldTime);
+}
+
 TimePoint Follower::mayReadFrom(Stream Which) const {
   if (state(Which).m_ReadingSince) {
     return TimePoint::max();
   }
-  const auto ShareOfBound = [this](double Share) {
-    return std::chrono::duration_cast<Duration>(m_Options.m_Bound * Share);
-  };
   TimePoint From = TimePoint::min();
   for (const StreamState &State : m_Streams) {
-    if (State.m_ReadingSince) {
+    if (State.m_ReadingSince && State.m_HoldTime == Duration::zero()) {
       const auto &KnownAt = state(Which).m_CurrentAt;
       From = KnownAt && !isPositionLost(state(Which))
-                 ? std::max(*State.m_ReadingSince + ShareOfBound(LongReadShare),
-                            *KnownAt + ShareOfBound(UrgentAgeShare))
+                 ? std::max(*State.m_ReadingSince + shareOfBound(LongReadShare),
+                            *KnownAt + shareOfBound(UrgentAgeShare))
                  : TimePoint::max();
     }
   }
@@ -118,7 +127,8 @@
                      [](const StreamState &State) { return State.m_Position.has_value(); });
 }
 
-bool Follower::readSucceeded(Stream Which, const Position &To, TimePoint AskedAt, TimePoint Now) {
+bool Follower::readSucceeded(Stream Which, const Position &To, TimePoint AskedAt, TimePoint Now,
+                             Duration HeldFor) {
   StreamState &State = state(Which);
   State.m_ReadingSince.reset();
   noteEra(To.m_Era, Now);
@@ -129,9 +139,17 @@
     State.m_AnnouncedTo = To;
   }
   State.m_IsPositionLost = false;
-  State.m_CurrentAt = std::max(State.m_CurrentAt.value_or(AskedAt), AskedAt);
-  State.m_ReadTime = Now - AskedAt;
-  scheduleRead(State);
+  const TimePoint CurrentAt = AskedAt + HeldFor;
+  State.m_CurrentAt = std::max(State.m_CurrentAt.value_or(CurrentAt), CurrentAt);
+  State.m_ReadTime = Now - CurrentAt;
+  if (Which == Stream::Configuration) {
+    const bool HasRecords = State.m_ReadFrom != To;
+    m_Standing.succeeded(!HasRecords && Now - AskedAt < State.m_HoldTime, Now);
+    if (!HasRecords && State.m_HoldTime > Duration::zero()) {
+      State.m_RoundTrip = std::max(Now - AskedAt - State.m_HoldTime, Duration::zero());
+    }
+  }
+  scheduleRead(Which, Now);
   const bool WasUnreachable = m_Failures > 0;
   m_Failures = 0;
   return WasUnreachable;
@@ -150,6 +168,9 @@
     return;
   }
   ++m_Failures;
+  if (Which == Stream::Configuration) {
+    m_Standing.failed(Now);
+  }
   constexpr std::uint32_t MaxDoublings = 3;
   const Duration Backoff =
       std::min(InitialBackoff * (1U << std::min(m_Failures - 1, MaxDoublings)), MaxBackoff);
@@ -175,6 +196,7 @@
   hearEra(Range.m_To.m_Era);
   StreamState &State = state(Range.m_Stream);
   State.m_AnnouncedTo = std::max(State.m_AnnouncedTo, Range.m_To);
+  const bool ShouldReplace = Range.m_KeeperRank && m_Standing.heard(*Range.m_KeeperRank, Now);
   if (!reaches(Range)) {
     // Records between the position and the range are missing.
     readSoon(Range.m_Stream, Range.m_To, Now);
@@ -185,10 +207,14 @@
     State.m_Position = Range.m_To;
     State.m_IsPositionLost = false;
   }
-  if (!State.m_CurrentAt || Range.m_AskedAt > *State.m_CurrentAt) {
-    State.m_CurrentAt = Range.m_AskedAt;
-    State.m_ReadTime = Now - Range.m_AskedAt;
-    scheduleRead(State);
+  if (!State.m_CurrentAt || Range.currentAt() > *State.m_CurrentAt) {
+    State.m_CurrentAt = Range.currentAt();
+    State.m_ReadTime = Now - Range.currentAt();
+    scheduleRead(Range.m_Stream, Now);
+  }
+  if (ShouldReplace) {
+    std::uniform_real_distribution<double> Spread(0.0, ReplaceSpreadShare);
+    State.m_NextReadAt = std::min(State.m_NextReadAt, Now + shareOfBound(Spread(m_Random)));
   }
   return IsNew;
 }
@@ -203,37 +229,47 @@
   State.m_IsPositionLost = false;
   if (!State.m_CurrentAt || CurrentAt > *State.m_CurrentAt) {
     State.m_CurrentAt = CurrentAt;
-    scheduleRead(State);
+    scheduleRead(Which, CurrentAt);
   }
 }
 
 void Follower::readSoon(Stream Which, const Position &To, TimePoint Now) {
   StreamState &State = state(Which);
   State.m_AnnouncedTo = std::max(State.m_AnnouncedTo, To);
-  if (State.m_Position.value_or(Position{}) < To) {
-    const auto FetchTime = std::chrono::duration_cast<Duration>(m_Options.m_Bound * FetchTimeShare);
-    State.m_NextReadAt = std::min(State.m_NextReadAt, Now + FetchTime);
+  // Records that are being fetched have a time of their own at which the store is read instead.
+  if (State.m_Position.value_or(Position{}) < To && !State.m_ReadBy) {
+    State.m_NextReadAt = std::min(State.m_NextReadAt, Now + shareOfBound(FetchTimeShare));
+  }
+}
+
+void Follower::readAtOnce(Stream Which, const Position &To, TimePoint Now) {
+  StreamState &State = state(Which);
+  if (State.m_AnnouncedTo >= To || State.m_Position.value_or(Position{}) >= To) {
+    return;
   }
+  State.m_AnnouncedTo = To;
+  std::uniform_real_distribution<double> Spread(0.0, ReplaceSpreadShare);
+  State.m_NextReadAt = std::min(State.m_NextReadAt, Now + shareOfBound(Spread(m_Random)));
 }
 
-void Follower::readUnlessFetched(Stream Which, const Position &To, TimePoint Now) {
+void Follower::readUnlessFetched(Stream Which, const Position &To, TimePoint Now,
+                                 TimePoint MissingFrom) {
   StreamState &State = state(Which);
   if (State.m_AnnouncedTo >= To || State.m_Position.value_or(Position{}) >= To) {
     // An announcement that is heard again draws no second time.
     return;
   }
-  const auto ShareOfBound = [this](double Least, double Most) {
-    std::uniform_real_distribution<double> Share(Least, Most);
-    return std::chrono::duration_cast<Duration>(m_Options.m_Bound * Share(m_Random));
+  const auto RandomShare = [this](double Least, double Most) {
+    return shareOfBound(std::uniform_real_distribution<double>(Least, Most)(m_Random));
   };
   if (!State.m_ReadBy) {
-    const TimePoint KnownAt = State.m_CurrentAt.value_or(Now);
-    State.m_ReadBy = std::max(KnownAt + ShareOfBound(MinFetchAgeShare, MaxFetchAgeShare),
-                              Now + ShareOfBound(0.0, FetchTimeShare));
+    const TimePoint KnownAt = std::max(State.m_CurrentAt.value_or(Now), MissingFrom);
+    State.m_ReadBy = std::max(KnownAt + RandomShare(MinFetchAgeShare, MaxFetchAgeShare),
+                              Now + RandomShare(0.0, FetchTimeShare));
   }
   State.m_AnnouncedTo = To;
   // The regular read waits for the fetch, too: it would read the same records.
-  const Duration Wait = ShareOfBound(FetchTimeShare, FetchTimeShare + FetchSpreadShare);
+  const Duration Wait = RandomShare(FetchTimeShare, FetchTimeShare + FetchSpreadShare);
   State.m_NextReadAt = std::min(Now + Wait, *State.m_ReadBy);
 }
 
@@ -246,20 +282,32 @@
   State.m_AnnouncedTo = std::max(State.m_AnnouncedTo, Range.m_To);
 }
 
-void Follower::scheduleRead(StreamState &State) {
+void Follower::scheduleRead(Stream Which, TimePoint Now) {
+  StreamState &State = state(Which);
   State.m_ReadBy.reset();
+  if (holdTimeAt(Which, Now) > Duration::zero()) {
+    const TimePoint BeganAt = State.m_CurrentAt.value_or(Now);
+    State.m_NextReadAt = BeganAt + shareOfBound(MinStandingPeriodShare);
+    return;
+  }
   constexpr double HalfSpread = ReadSpreadShare / 2;
+  const bool IsKept = Which == Stream::Configuration && m_Standing.hasOther(Now);
+  if (IsKept && m_IsFirst) {
+    std::uniform_real_distribution<double> Spread(0.0, ReplaceSpreadShare);
+    State.m_NextReadAt =
+        *State.m_CurrentAt + shareOfBound(KeptPeriodShareOfFirst + Spread(m_Random));
+    return;
+  }
+  const double PeriodShare = IsKept ? KeptPeriodShare : ReadPeriodShare;
   std::bernoulli_distribution IsEarly(std::min(EarlyVms / static_cast<double>(m_FleetSize), 1.0));
   std::uniform_real_distribution<double> Spread(0.0, HalfSpread);
   const double ExtraShare = IsEarly(m_Random) ? 0.0 : HalfSpread;
-  const auto Delay = m_Options.m_Bound * (ReadPeriodShare + ExtraShare + Spread(m_Random));
-  State.m_NextReadAt = *State.m_CurrentAt + std::chrono::duration_cast<Duration>(Delay);
+  State.m_NextReadAt =
+      *State.m_CurrentAt + shareOfBound(PeriodShare + ExtraShare + Spread(m_Random));
   if (ExtraShare > 0.0) {
     // The early VMs' reads take long at a slow store: without this, all others would read before
     // the first answer is announced.
-    const auto MaxExtra =
-        std::chrono::duration_cast<Duration>(m_Options.m_Bound * MaxSlowStoreShare);
-    State.m_NextReadAt += std::min(State.m_ReadTime, MaxExtra);
+    State.m_NextReadAt += std::min(State.m_ReadTime, shareOfBound(MaxSlowStoreShare));
   }
 }
 
--- a/src/fleet/news.cpp
+++ b/src/fleet/news.cpp
@@ -96,16 +96,22 @@
 }
 
 Json encodeInfo(const VmInfo &Sender) {
-  return Json::array(
+  Json Fields = Json::array(
       {Sender.m_DataCenter, Sender.m_LocalVms, Sender.m_HasCatalog, Sender.m_Capabilities});
+  if (Sender.m_LinkClass != VmInfo::UnknownLink) {
+    Fields.push_back(Sender.m_LinkClass);
+  }
+  return Fields;
 }
 
 VmInfo decodeInfo(const Json &Fields) {
   return {.m_DataCenter = Fields.at(0).get<std::string>(),
           .m_LocalVms = Fields.at(1).get<std::uint32_t>(),
           .m_HasCatalog = Fields.at(2).get<bool>(),
-          // Earlier versions send three elements.
-          .m_Capabilities = Fields.size() > 3 ? Fields.at(3).get<std::uint32_t>() : 0U};
+          // Earlier versions send three or four elements.
+          .m_Capabilities = Fields.size() > 3 ? Fields.at(3).get<std::uint32_t>() : 0U,
+          .m_LinkClass =
+              Fields.size() > 4 ? Fields.at(4).get<std::uint32_t>() : VmInfo::UnknownLink};
 }
 
 std::int64_t toMicros(Duration Value) {
@@ -141,11 +147,19 @@
 }
 
 Json encodeBody(const StoreNews &Message) {
-  return Json::array({static_cast<int>(Message.m_Stream), encodePosition(Message.m_From),
-                      encodePosition(Message.m_To), toMicros(Message.m_Age),
-                      Message.m_MayHaveLapsed, Message.m_IsSteady, Message.m_IsPartial,
-                      encodeRecords(Message.m_Records), encodeInfo(Message.m_Sender),
-                      Message.m_IsForRelay});
+  Json Body =
+      Json::array({static_cast<int>(Message.m_Stream), encodePosition(Message.m_From),
+                   encodePosition(Message.m_To), toMicros(Message.m_Age), Message.m_MayHaveLapsed,
+                   Message.m_IsSteady, Message.m_IsPartial, encodeRecords(Message.m_Records),
+                   encodeInfo(Message.m_Sender), Message.m_IsForRelay});
+  if (Message.m_KeeperRank || Message.m_IsNotice) {
+    const auto &Rank = Message.m_KeeperRank;
+    Body.push_back(toMicros(Message.m_HeldFor));
+    Body.push_back(Rank ? Json::array({Rank->m_LinkClass, Rank->m_Vm}) : Json::array());
+    Body.push_back(Message.m_IsNotice);
+    Body.push_back(Message.m_HolderIp);
+  }
+  return Body;
 }
 
 Json encodeBody(const ServerFailed &Message) { return Json::array({raw(Message.m_Server)}); }
@@ -277,6 +291,22 @@
   if (Message.m_From > Message.m_To) {
     throw std::invalid_argument("range ends before it begins");
   }
+  constexpr std::size_t HeldIndex = 10;
+  constexpr std::size_t RankIndex = 11;
+  constexpr std::size_t NoticeIndex = 12;
+  constexpr std::size_t HolderIndex = 13;
+  if (Fields.size() > HolderIndex) {
+    Message.m_HeldFor = decodeAge(Fields.at(HeldIndex));
+    if (Message.m_HeldFor > Message.m_Age) {
+      throw std::invalid_argument("read was held for longer than its age");
+    }
+    if (const Json &Rank = Fields.at(RankIndex); !Rank.empty()) {
+      Message.m_KeeperRank = ReaderRank{.m_LinkClass = Rank.at(0).get<std::uint32_t>(),
+                                        .m_Vm = Rank.at(1).get<std::uint32_t>()};
+    }
+    Message.m_IsNotice = Fields.at(NoticeIndex).get<bool>();
+    Message.m_HolderIp = Fields.at(HolderIndex).get<std::string>();
+  }
   return Message;
 }
 
--- a/src/fleet/peers.cpp
+++ b/src/fleet/peers.cpp
@@ -13,7 +13,8 @@
     m_CapabilityChanges += Vm->second.m_Capabilities != Sender.m_Capabilities ? 1 : 0;
     Vm->second = {.m_LastHeard = Now,
                   .m_HasCatalog = Sender.m_HasCatalog,
-                  .m_Capabilities = Sender.m_Capabilities};
+                  .m_Capabilities = Sender.m_Capabilities,
+                  .m_LinkClass = Sender.m_LinkClass};
     m_Changes += IsAdded ? 1 : 0;
     return IsAdded;
   }
@@ -275,6 +276,21 @@
   return Sources[drawIndex(Sources)];
 }
 
+std::size_t Peers::localRank(std::uint32_t LinkClass) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Local.begin(), m_Local.end(), [&](const auto &Known) {
+        return Known.second.m_LinkClass < LinkClass ||
+               (Known.second.m_LinkClass == LinkClass && Known.first < m_Options.m_SelfIp);
+      }));
+}
+
+std::size_t Peers::localWithLink(std::uint32_t LinkClass) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Local.begin(), m_Local.end(), [LinkClass](const auto &Known) {
+        return Known.second.m_LinkClass <= LinkClass;
+      }));
+}
+
 bool Peers::hasLocalCatalog() const {
   return std::any_of(m_Local.begin(), m_Local.end(),
                      [](const auto &Known) { return Known.second.m_HasCatalog; });
--- a/src/fleet/snapshot_fetcher.cpp
+++ b/src/fleet/snapshot_fetcher.cpp
@@ -1,11 +1,12 @@
 #include "vanillahill/fleet/snapshot_fetcher.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace vanillahill::fleet {
 
 void SnapshotFetcher::announced(std::string_view Ip, Stream Which, const Position &To, bool IsOffer,
-                                TimePoint Now) {
+                                TimePoint Now, std::uint32_t LinkClass) {
   const auto PositionIn = [Which](SnapshotRequest &Positions) -> Position & {
     return Which == Stream::Configuration ? Positions.m_ConfigurationTo : Positions.m_ServersTo;
   };
@@ -18,8 +19,9 @@
     Added = std::move(*Found);
     m_Holders.erase(Found);
   } else if (m_Holders.size() == MaxHolders) {
-    m_Holders.erase(m_Holders.begin());
+    forgetHolder();
   }
+  Added.m_LinkClass = LinkClass;
   PositionIn(Added.m_Has) = std::max(PositionIn(Added.m_Has), To);
   m_Holders.push_back(std::move(Added));
   if (IsOffer) {
@@ -31,12 +33,26 @@
   }
 }
 
+/// Forgets the holder with the slowest link; among equal ones that which was announced first.
+void SnapshotFetcher::forgetHolder() {
+  m_Holders.erase(
+      std::max_element(m_Holders.begin(), m_Holders.end(), [](const Holder &A, const Holder &B) {
+        return A.m_LinkClass < B.m_LinkClass;
+      }));
+}
+
 std::optional<std::string> SnapshotFetcher::drawHolder(const SnapshotRequest &Known) {
   std::vector<std::string_view> Candidates;
+  std::uint32_t Fastest = std::numeric_limits<std::uint32_t>::max();
   for (const Holder &Other : m_Holders) {
-    if (std::max(Other.m_Has.m_ConfigurationTo, Known.m_ConfigurationTo) >=
+    if (Other.m_LinkClass <= Fastest &&
+        std::max(Other.m_Has.m_ConfigurationTo, Known.m_ConfigurationTo) >=
             m_Wanted.m_ConfigurationTo &&
         std::max(Other.m_Has.m_ServersTo, Known.m_ServersTo) >= m_Wanted.m_ServersTo) {
+      if (Other.m_LinkClass < Fastest) {
+        Fastest = Other.m_LinkClass;
+        Candidates.clear();
+      }
       Candidates.push_back(Other.m_Ip);
     }
   }
--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -79,7 +79,7 @@
     if (!fleet::decodeTarget({Message.target().data(), Message.target().size()})) {
       return m_Server->respond(Message);
     }
-    if (m_Server->m_Transfers >= fleet::SnapshotFetcher::MaxTransfers) {
+    if (m_Server->m_Transfers >= m_Server->m_Sources.m_MaxTransfers) {
       return textResponse(http::status::service_unavailable, "text/plain", "busy\n");
     }
     ++m_Server->m_Transfers;
--- a/src/net/fleet_client.cpp
+++ b/src/net/fleet_client.cpp
@@ -24,6 +24,17 @@
 /// A read that begins later than this after it was due gets a log line.
 constexpr Duration MinLoggedDelay = std::chrono::milliseconds(100);
 
+/// Records of more bytes than this are not packed to see whether they fit into an announcement.
+constexpr std::size_t MaxPackedBytes = 100'000;
+
+std::size_t bytesOf(std::span<const fleet::Record> Records) {
+  std::size_t Bytes = 0;
+  for (const fleet::Record &Entry : Records) {
+    Bytes += Entry.m_Value ? Entry.m_Value->size() : 0;
+  }
+  return Bytes;
+}
+
 } // namespace
 
 FleetClient::FleetClient(FleetRuntime Runtime, StoreAccess Store, FleetClientOptions Options)
@@ -103,6 +114,7 @@
   publishHelpers();
   publishCountingVms();
   m_Follower.setFleetSize(m_Peers.fleetSize(), m_Peers.localSize());
+  m_Follower.setIsFirst(isFirstInDataCenter());
   observe::flushLog();
   if (fleet::Peers::hasSizeChanged(m_SettingsFleetSize,
                                    m_DividedSize.note(m_Peers.fleetSize(), Now))) {
@@ -116,12 +128,21 @@
   if (const auto Which = WaitsForSnapshot ? std::nullopt : m_Follower.nextRead(Now)) {
     const auto From = m_Follower.position(*Which);
     logLateRead(*Which, Now);
-    m_Store.m_Read(*Which, From ? std::optional(From->m_Offset) : std::nullopt,
-                   [Self = shared_from_this(), Which = *Which, From, Now](StoreResult Result) {
-                     if (!Self->m_Closed) {
-                       Self->onRead(Which, From, Now, std::move(Result));
-                     }
-                   });
+    m_Store.m_Read(
+        *Which, From ? std::optional(From->m_Offset) : std::nullopt, m_Follower.holdTime(*Which),
+        [Self = weak_from_this(), Which = *Which,
+         Now](const fleet::Position &To, std::uint64_t Bytes, Duration AnsweredAfter) {
+          const auto Locked = Self.lock();
+          if (Locked && !Locked->m_Closed) {
+            Locked->onReadBegun({.m_Stream = Which, .m_To = To, .m_AskedAt = Now}, Bytes,
+                                AnsweredAfter);
+          }
+        },
+        [Self = shared_from_this(), Which = *Which, From, Now](StoreResult Result) {
+          if (!Self->m_Closed) {
+            Self->onRead(Which, From, Now, std::move(Result));
+          }
+        });
   }
   startTimer();
 }
@@ -214,7 +235,8 @@
                                   .m_To = Result->m_To,
                                   .m_Records = Result->m_Records.size(),
                                   .m_AskedAt = AskedAt};
-  if (m_Follower.readSucceeded(Which, Read.m_To, AskedAt, Now)) {
+  const Duration HeldFor = m_Follower.heldFor(Which, Result->m_AnsweredAfter);
+  if (m_Follower.readSucceeded(Which, Read.m_To, AskedAt, Now, HeldFor)) {
     observe::log(LogLevel::Info, "store_regained", {});
   }
   if (Which == Stream::Configuration) {
@@ -231,8 +253,13 @@
   const RecordSource Source{
       .m_Way = Result->m_IsWhole ? "listing" : "read", .m_From = "store", .m_BeganAt = AskedAt};
   const bool Changed = applyRecords(Which, *Result, Source, ShouldAnnounce, Now);
-  announce(fleet::announcementOf(Read, m_Follower, Result->m_Records, ShouldAnnounce), AskedAt,
-           Now);
+  fleet::StoreNews Announcement =
+      fleet::announcementOf(Read, m_Follower, Result->m_Records, ShouldAnnounce);
+  if (Which == Stream::Configuration) {
+    Announcement.m_HeldFor = HeldFor;
+    Announcement.m_KeeperRank = m_Follower.keeperRank(Now);
+  }
+  announce(std::move(Announcement), AskedAt, Now);
   m_Follower.told(Read.range());
   relayPending(Now);
   if (Changed) {
@@ -241,6 +268,17 @@
   runDueTasks();
 }
 
+/// The answer to a read has begun. Long records are noticed to the other VMs, before they are here.
+void FleetClient::onReadBegun(const fleet::RecordRange &Begun, std::uint64_t Bytes,
+                              Duration AnsweredAfter) {
+  const bool IsNew = Begun.m_To.m_Era == m_Follower.era() && m_Follower.knownTo(Begun.m_Stream) &&
+                     !m_Follower.knows(Begun.m_Stream, Begun.m_To);
+  if (Begun.m_Stream == Stream::Configuration && Bytes > MaxPackedBytes && IsNew &&
+      m_NoticedTo < Begun.m_To) {
+    giveNotice(Begun.m_To, Begun.m_AskedAt, m_Follower.heldFor(Begun.m_Stream, AnsweredAfter));
+  }
+}
+
 void FleetClient::onReadFailed(Stream Which, const StoreFailure &Failed, TimePoint Now) {
   m_Follower.noteEra(Failed.m_Era, Now);
   noteEra(Now);
@@ -296,7 +334,8 @@
   Announcement.m_Age = ageToState(Announcement.m_Stream, AskedAt, false, Now);
   Announcement.m_MayHaveLapsed = m_Lapse.mayHaveLapsed(Now);
   Announcement.m_IsSteady = m_Lapse.isSteady(Now);
-  if (fleet::packNews(Announcement, m_LastSplitMessage).size() > MaxAnnouncedDatagrams) {
+  if (bytesOf(Announcement.m_Records) > MaxPackedBytes ||
+      fleet::packNews(Announcement, m_LastSplitMessage).size() > MaxAnnouncedDatagrams) {
     Announcement.m_Records.clear();
     Announcement.m_IsPartial = true;
   }
@@ -386,8 +425,13 @@
   }
   const bool HasRecords = !Message.m_IsPartial && m_Follower.reaches(Range);
   const bool IsMissing = !HasRecords && !m_Follower.knows(Message.m_Stream, Message.m_To);
+  if (Message.m_IsNotice) {
+    onNotice(Ip, Message, IsMissing, Now);
+    return;
+  }
   if (Message.m_IsForRelay && Message.m_IsPartial && IsMissing) {
     m_PendingRelay = {Message, Range.m_AskedAt};
+    passHolder(Ip, Message);
   } else if (Message.m_IsForRelay) {
     relay(Message, Range.m_AskedAt, Now);
   }
--- a/src/net/fleet_client_peers.cpp
+++ b/src/net/fleet_client_peers.cpp
@@ -86,7 +86,8 @@
           .m_LocalVms = static_cast<std::uint32_t>(m_Peers.localSize()),
           .m_HasCatalog = m_Follower.isComplete(),
           .m_Capabilities = (hasEvacuations() ? fleet::capability::OperatorRecords : 0U) |
-                            (m_Options.m_CountsTenants ? fleet::capability::TenantCaps : 0U)};
+                            (m_Options.m_CountsTenants ? fleet::capability::TenantCaps : 0U),
+          .m_LinkClass = m_Options.m_Follower.linkClass()};
 }
 
 /// Passes on which VMs can count requests of tenants, whenever that has changed.
--- a/src/net/fleet_client_snapshots.cpp
+++ b/src/net/fleet_client_snapshots.cpp
@@ -15,6 +15,15 @@
 /// A snapshot frame is sent again for this long, as many VMs may fetch it at once.
 constexpr Duration SnapshotLifetime = std::chrono::milliseconds(100);
 
+/// Longest time that a configuration takes on the link of a VM that reads it for others, as a share
+/// of the bound.
+constexpr double MaxReadTimeShare = 0.04;
+constexpr double BitsPerByte = 8.0;
+/// VMs of each data centre that get long records first: those with the fastest links.
+constexpr std::size_t FirstPerDataCenter = 2;
+/// The same where no link is fast.
+constexpr std::size_t SlowReadersPerDataCenter = 8;
+
 /// An announcement of no records, which tells few VMs where they can be fetched.
 bool isOffer(const fleet::StoreNews &Message) {
   return Message.m_IsPartial && Message.m_From == Message.m_To;
@@ -25,7 +34,8 @@
 /// Another VM announced records that are missing here: they are fetched soon.
 void FleetClient::noteMissing(std::string_view Ip, const fleet::StoreNews &Message, TimePoint Now) {
   const bool IsUrgent = Message.m_IsForRelay || isOffer(Message);
-  m_Fetcher.announced(Ip, Message.m_Stream, Message.m_To, IsUrgent, Now);
+  m_Fetcher.announced(Ip, Message.m_Stream, Message.m_To, IsUrgent, Now,
+                      Message.m_Sender.m_LinkClass);
   if (Message.m_IsPartial) {
     m_Follower.readUnlessFetched(Message.m_Stream, Message.m_To, Now);
   } else {
@@ -33,18 +43,93 @@
   }
 }
 
-/// Offers fetched records to a few VMs of this data centre.
+/// Another VM knows that long records are at the store, and does not have them yet. The VMs with
+/// the fastest links of each data centre read them; the others fetch them from those.
+void FleetClient::onNotice(std::string_view Ip, const fleet::StoreNews &Message, bool IsMissing,
+                           TimePoint Now) {
+  if (Message.m_IsForRelay && m_NoticedTo < Message.m_To) {
+    fleet::StoreNews Passed = Message;
+    Passed.m_IsForRelay = false;
+    Passed.m_Sender = selfInfo();
+    send(m_Peers.local(), Passed);
+  }
+  m_NoticedTo = std::max(m_NoticedTo, Message.m_To);
+  if (!IsMissing) {
+    return;
+  }
+  noticeConfiguration(Ip, Message, Now);
+  if (!Message.m_HolderIp.empty() && isFirstInDataCenter() &&
+      !m_Follower.isReading(Message.m_Stream)) {
+    m_Fetcher.announced(Message.m_HolderIp, Message.m_Stream, Message.m_To, true, Now);
+  }
+  if (readsForOthers()) {
+    m_Follower.readAtOnce(Message.m_Stream, Message.m_To, Now);
+  } else {
+    m_Follower.readUnlessFetched(Message.m_Stream, Message.m_To, Now,
+                                 fleet::rangeOf(Message, Now).currentAt());
+  }
+  runDueTasks();
+}
+
+/// Whether this VM is one of those that get long records first.
+bool FleetClient::isFirstInDataCenter() const {
+  return m_Peers.localRank(m_Options.m_Follower.linkClass()) < FirstPerDataCenter;
+}
+
+/// Whether this VM reads long records from the store as soon as it learns of them. Where no link of
+/// the data centre is fast, more VMs read: each can pass the records on to few at a time.
+bool FleetClient::readsForOthers() const {
+  const double BoundSeconds = std::chrono::duration<double>(m_Options.m_Follower.m_Bound).count();
+  const double FastBitsPerSecond = static_cast<double>(m_ConfigurationText.size()) * BitsPerByte /
+                                   (BoundSeconds * MaxReadTimeShare);
+  const std::uint32_t FastClass = fleet::rankOf(FastBitsPerSecond, {}).m_LinkClass;
+  const std::uint32_t OwnClass = m_Options.m_Follower.linkClass();
+  const bool HasFast = OwnClass <= FastClass || m_Peers.localWithLink(FastClass) > 0;
+  return m_Peers.localRank(OwnClass) < (HasFast ? FirstPerDataCenter : SlowReadersPerDataCenter);
+}
+
+/// Tells the VMs of this data centre which VM of another one has long records that are missing
+/// here.
+void FleetClient::passHolder(std::string_view HolderIp, const fleet::StoreNews &Message) {
+  fleet::StoreNews Notice = Message;
+  Notice.m_IsForRelay = false;
+  Notice.m_Sender = selfInfo();
+  Notice.m_IsNotice = true;
+  Notice.m_HolderIp = std::string(HolderIp);
+  send(m_Peers.local(), Notice);
+}
+
+/// Tells all VMs that a long configuration is at the store.
+void FleetClient::giveNotice(const fleet::Position &To, TimePoint AskedAt, Duration HeldFor) {
+  const auto Now = m_Runtime.m_Now();
+  fleet::StoreNews Notice{.m_Sender = selfInfo(),
+                          .m_Stream = Stream::Configuration,
+                          .m_From = To,
+                          .m_To = To,
+                          .m_Age = ageToState(Stream::Configuration, AskedAt, false, Now),
+                          .m_HeldFor = HeldFor,
+                          .m_IsPartial = true,
+                          .m_IsNotice = true};
+  m_NoticedTo = To;
+  send(m_Peers.local(), Notice);
+  Notice.m_IsForRelay = true;
+  send(m_Peers.drawRelays(), Notice);
+}
+
+/// Offers fetched records to a few VMs of this data centre, which fetch them at once; a VM with one
+/// of the fastest links announces them to all.
 void FleetClient::offer(Stream Which, TimePoint Now) {
   const fleet::Position To = m_Follower.knownTo(Which).value_or(fleet::Position{});
+  const bool IsForAll = isFirstInDataCenter();
   const fleet::StoreNews Offer{.m_Sender = selfInfo(),
                                .m_Stream = Which,
-                               .m_From = To,
+                               .m_From = IsForAll ? fleet::Position{.m_Era = To.m_Era} : To,
                                .m_To = To,
                                .m_Age = Now - m_Follower.currentAt(Which).value_or(Now),
                                .m_MayHaveLapsed = m_Lapse.mayHaveLapsed(Now),
                                .m_IsSteady = m_Lapse.isSteady(Now),
                                .m_IsPartial = true};
-  send(m_Peers.drawLocal(fleet::SnapshotFetcher::OffersPerVm), Offer);
+  send(IsForAll ? m_Peers.local() : m_Peers.drawLocal(fleet::SnapshotFetcher::OffersPerVm), Offer);
 }
 
 std::string FleetClient::snapshotFrame(const fleet::SnapshotRequest &Wanted) {
--- a/tests/distribution_fleet.hpp
+++ b/tests/distribution_fleet.hpp
@@ -75,6 +75,9 @@
     ++m_Version;
     m_Configurations.push_back({.m_Key = "config", .m_Value = configurationText(m_Version)});
     m_PublishedAt.push_back(m_Now);
+    for (const auto &[Number, Asked] : std::exchange(m_Held, {})) {
+      answerRead(Asked);
+    }
   }
 
   void runFor(Duration Time) {
@@ -130,6 +133,9 @@
   static constexpr Duration ServerRecordInterval = milliseconds(60);
   static constexpr std::size_t ServerRecordBytes = 250;
 
+  /// Length of the texts that are passed around, in place of DistributionOptions::m_TextBytes.
+  static constexpr std::size_t SimulatedTextBytes = 110'000;
+
   struct Vm {
     std::shared_ptr<FleetClient> m_Client;
     std::string m_Ip;
@@ -152,14 +158,24 @@
     std::map<std::uint64_t, TimePoint> m_InForceAt;
   };
 
+  struct Read {
+    std::size_t m_Vm = 0;
+    fleet::Stream m_Stream = fleet::Stream::Configuration;
+    std::optional<std::uint64_t> m_From;
+    TimePoint m_AskedAt{};
+    StoreReadBegun m_Begun;
+    StoreReadDone m_Done;
+  };
+
   /// Text that does not fit into an announcement when it is compressed.
   static std::string configurationText(std::uint64_t Version) {
-    constexpr std::size_t Bytes = 14000;
+    constexpr std::size_t CompressedBytes = 12'000;
     std::mt19937_64 Random(Version);
     std::string Text = std::to_string(Version) + " ";
-    while (Text.size() < Bytes) {
+    while (Text.size() < CompressedBytes) {
       Text.push_back(static_cast<char>(Random() % 255 + 1));
     }
+    Text.resize(SimulatedTextBytes, ' ');
     return Text;
   }
 
@@ -201,15 +217,22 @@
                              },
                          .m_Close = [] {}};
     StoreAccess Access{
-        .m_Read = [this, Index](fleet::Stream Which, std::optional<std::uint64_t> From,
-                                StoreReadDone Done) { read(Index, Which, From, std::move(Done)); },
+        .m_Read =
+            [this, Index](fleet::Stream Which, std::optional<std::uint64_t> From, Duration HoldTime,
+                          StoreReadBegun OnBegun, StoreReadDone Done) {
+              read(Index, Which, From, HoldTime, std::move(OnBegun), std::move(Done));
+            },
         .m_DecodeConfiguration = &decodeConfiguration,
         .m_DecodeServer = &decodeServer,
         .m_ConfigurationKey = "config"};
     Added.m_Client = std::make_shared<FleetClient>(
         std::move(Runtime), std::move(Access),
         FleetClientOptions{
-            .m_Follower = {.m_Bound = m_Options.m_Bound, .m_Seed = m_Options.m_Seed * 1000 + Index},
+            .m_Follower = {.m_Bound = m_Options.m_Bound,
+                           .m_Seed = m_Options.m_Seed * 1000 + Index,
+                           .m_LinkBitsPerSecond = linkOf(Added) * SimulatedTextBytes /
+                                                  static_cast<double>(m_Options.m_TextBytes),
+                           .m_Rank = fleet::rankOf(linkOf(Added), Added.m_Ip)},
             .m_Peers = {.m_SelfIp = Added.m_Ip,
                         .m_DataCenter = "dc" + std::to_string(DataCenter),
                         .m_SeedIps = {"10.0.0.1", "10.1.0.1", "10.2.0.1"},
@@ -228,6 +251,12 @@
 
   static double rateOf(const Vm &Of) { return Of.m_IsFast ? FastBytesPerMilli : SlowBytesPerMilli; }
 
+  static double linkOf(const Vm &Of) {
+    constexpr double BitsPerByte = 8.0;
+    constexpr double MillisPerSecond = 1000.0;
+    return rateOf(Of) * BitsPerByte * MillisPerSecond;
+  }
+
   static Duration timeOf(std::size_t Bytes, double BytesPerMilli) {
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double, std::milli>(static_cast<double>(Bytes) / BytesPerMilli));
@@ -325,28 +354,48 @@
   }
 
   void read(std::size_t Index, fleet::Stream Which, std::optional<std::uint64_t> From,
-            StoreReadDone Done) {
+            Duration HoldTime, StoreReadBegun OnBegun, StoreReadDone Done) {
     ++m_Reads;
     if (Which == fleet::Stream::Configuration) {
       std::erase(m_Readers, Index);
       m_Readers.push_back(Index);
     }
-    m_Events.emplace(reached() + Latency, [this, Index, Which, From, Done = std::move(Done)] {
-      answerRead(Index, Which, From, Done);
+    const TimePoint AskedAt = reached();
+    m_Events.emplace(AskedAt + Latency, [this, HoldTime,
+                                         Asked = Read{.m_Vm = Index,
+                                                      .m_Stream = Which,
+                                                      .m_From = From,
+                                                      .m_AskedAt = AskedAt,
+                                                      .m_Begun = std::move(OnBegun),
+                                                      .m_Done = std::move(Done)}] {
+      if (HoldTime == Duration::zero() || !Asked.m_From ||
+          *Asked.m_From < m_Configurations.size()) {
+        answerRead(Asked);
+        return;
+      }
+      const std::uint64_t Number = ++m_HeldReads;
+      m_Held.emplace(Number, Asked);
+      m_Events.emplace(m_Now + HoldTime, [this, Number] {
+        if (auto Ended = m_Held.extract(Number)) {
+          answerRead(Ended.mapped());
+        }
+      });
     });
   }
 
-  void answerRead(std::size_t Index, fleet::Stream Which, std::optional<std::uint64_t> From,
-                  const StoreReadDone &Done) {
+  void answerRead(const Read &Asked) {
+    const auto &[Index, Which, From, AskedAt, Begun, Done] = Asked;
     Vm &Reader = m_Vms[Index];
     if (Reader.m_IsTurnedAway && m_IsTurningAway) {
-      at(m_Now + StoreTime, Index, [Done] {
+      at(m_Now + StoreTime, Index, [Done = Done] {
         Done(StoreFailure{.m_Error = {Errc::LogUnavailable, "read", "store", "status 503"}});
       });
       return;
     }
     const auto &Log = Which == fleet::Stream::Configuration ? m_Configurations : m_Servers;
-    StoreRead Answer{.m_To = {.m_Offset = Log.size()}, .m_IsWhole = !From};
+    StoreRead Answer{.m_To = {.m_Offset = Log.size()},
+                     .m_IsWhole = !From,
+                     .m_AnsweredAfter = m_Now + StoreTime - AskedAt};
     std::map<std::string, fleet::Record> Newest;
     for (std::size_t Offset = From.value_or(0); Offset < Log.size(); ++Offset) {
       if (From) {
@@ -363,11 +412,17 @@
     // A listing has the records in base64.
     const std::size_t Bytes = Answer.m_Records.size() * Each * (From ? 3 : 4) / 3;
     m_StoreBytes += Bytes;
+    if (From && Begun) {
+      at(m_Now + StoreTime + Latency, Index,
+         [Begun = Begun, To = Answer.m_To, Bytes, After = Answer.m_AnsweredAfter] {
+           Begun(To, Bytes, After);
+         });
+    }
     m_StoreUntil = std::max(m_StoreUntil, m_Now + StoreTime) + timeOf(Bytes, StoreBytesPerMilli);
     Reader.m_ReceivesUntil = std::max(
         {m_StoreUntil, std::max(Reader.m_ReceivesUntil, m_Now) + timeOf(Bytes, rateOf(Reader))});
     at(Reader.m_ReceivesUntil + Latency, Index,
-       [Done, Answer = std::move(Answer)] { Done(Answer); });
+       [Done = Done, Answer = std::move(Answer)] { Done(Answer); });
   }
 
   void fetch(std::size_t Index, const std::string &Ip, const fleet::SnapshotRequest &Wanted,
@@ -385,7 +440,7 @@
     }
     at(AskedAt + Latency, Source->second, [=, this, From = Source->second] {
       Vm &Sender = m_Vms[From];
-      if (Sender.m_Transfers >= fleet::SnapshotFetcher::MaxTransfers) {
+      if (Sender.m_Transfers >= fleet::SnapshotFetcher::maxTransfers(linkOf(Sender))) {
         Fail(m_Now + Latency, "busy");
         return;
       }
@@ -407,14 +462,15 @@
                 const SnapshotDone &Done, const Failing &Fail) {
     Vm &Sender = m_Vms[From];
     Vm &Receiver = m_Vms[To];
-    const TimePoint Begins = std::max({reached(), Sender.m_SendsUntil, Receiver.m_ReceivesUntil});
-    const TimePoint Ends =
-        Begins + timeOf(m_Options.m_FrameBytes, std::min(rateOf(Sender), rateOf(Receiver)));
+    const TimePoint Begins = std::max(reached(), Sender.m_SendsUntil);
+    const TimePoint SentBy = Begins + timeOf(m_Options.m_FrameBytes, rateOf(Sender));
+    const TimePoint Ends = std::max(SentBy, std::max(Begins, Receiver.m_ReceivesUntil) +
+                                                timeOf(m_Options.m_FrameBytes, rateOf(Receiver)));
     if (Begins > AskedAt + SnapshotSilence) {
       Fail(AskedAt + SnapshotSilence, "silent");
       return;
     }
-    Sender.m_SendsUntil = Ends;
+    Sender.m_SendsUntil = SentBy;
     Receiver.m_ReceivesUntil = Ends;
     ++Sender.m_Transfers;
     m_Events.emplace(Ends, [this, From] { --m_Vms[From].m_Transfers; });
@@ -439,8 +495,40 @@
   std::vector<TimePoint> m_PublishedAt;
   /// VMs that read the configuration, in the order of their last reads.
   std::vector<std::size_t> m_Readers;
+  /// Reads that the store holds until there is a record.
+  std::map<std::uint64_t, Read> m_Held;
+  std::uint64_t m_HeldReads = 0;
   std::uint64_t m_Version = 0;
   TimePoint m_StoreUntil{};
 };
 
+/// A fifth of the bound is left for what the fleet does not simulate.
+inline constexpr Duration DistributionLimit = DistributionOptions{}.m_Bound * 4 / 5;
+
+#ifdef __SANITIZE_ADDRESS__
+inline constexpr std::size_t DistributionVms = 20;
+#else
+inline constexpr std::size_t DistributionVms = 137;
+#endif
+
+/// Until all VMs know each other.
+inline constexpr Duration SettlingTime = seconds(8);
+/// Long enough for the slowest VM, also on a code that misses the limit.
+inline constexpr Duration DistributionTime = seconds(4);
+
+/// Publishes versions at different moments between two reads of the store.
+inline void expectInTime(const DistributionOptions &Options, int Versions = 5) {
+  DistributionFleet Fleet(Options);
+  Fleet.runFor(SettlingTime);
+  Fleet.m_IsTurningAway = true;
+  for (int Round = 0; Round < Versions; ++Round) {
+    Fleet.runFor(seconds(3) + milliseconds(170) * Round);
+    Fleet.publish();
+    Fleet.runFor(DistributionTime);
+    EXPECT_LE(toMillis(Fleet.slowest(Fleet.version())), toMillis(DistributionLimit))
+        << "version " << Fleet.version() << ", seed " << Options.m_Seed << ", " << Options.m_Vms
+        << " VMs";
+  }
+}
+
 } // namespace vanillahill::net
--- a/tests/unit-fleet-client.cpp
+++ b/tests/unit-fleet-client.cpp
@@ -122,6 +122,8 @@
     auto PeerSocket = Datagrams::open(m_Io, Ip, m_Port).value();
     StoreAccess Access{.m_Read =
                            [this, &Source, Ip](Stream Which, std::optional<std::uint64_t> From,
+                                               Duration /*HoldTime*/,
+                                               const StoreReadBegun & /*OnBegun*/,
                                                const StoreReadDone &Done) {
                              m_ServerReads[Ip] += Which == Stream::Servers ? 1 : 0;
                              auto Answer = [Done, Read = Source.read(Which, From)] { Done(Read); };
--- a/tests/unit-snapshot-fetcher.cpp
+++ b/tests/unit-snapshot-fetcher.cpp
@@ -128,7 +128,7 @@
     const std::string Source = Receiver.m_Fetcher.drawHolder({}).value_or(std::to_string(drawVm()));
     Receiver.m_Fetcher.started();
     Vm &Sender = m_Vms[std::stoul(Source)];
-    if (Sender.m_HasRecords && Sender.m_Transfers.size() < SnapshotFetcher::MaxTransfers) {
+    if (Sender.m_HasRecords && Sender.m_Transfers.size() < SnapshotFetcher::MinTransfers) {
       Sender.m_Transfers[Index] = static_cast<double>(m_SnapshotBytes);
     } else {
       Receiver.m_Fetcher.ended(Source, false, Now);
--- a/tests/unit-store-client.cpp
+++ b/tests/unit-store-client.cpp
@@ -75,7 +75,7 @@
   net::asio::io_context Io{1};
   const auto Store = std::make_shared<StoreClient>(Io, Address);
   std::optional<StoreResult> Result;
-  Store->readStream(Source, From, [&](StoreResult Read) {
+  Store->readStream(Source, From, Duration::zero(), nullptr, [&](StoreResult Read) {
     Result.emplace(std::move(Read));
     Store->close();
   });
