Weights of a split: the sequence of each VM begins elsewhere

Callers saw one service get far more of a split's requests than its weight says. RouteTable began each route's sequence of shares at 0 on every VM and again for each change of any route, so the first request of each VM went to the first service: with 147 VMs a part of weight 0.1 got 1.0, 0.5, 0.33 and 0.25 of the requests when each VM had 1, 2, 3 and 8. The class: something meant over the fleet that each VM starts in the same state.

The sequence begins at a random place for each table and route.

--- a/include/vanillahill/net/detail/caller_request.hpp
+++ b/include/vanillahill/net/detail/caller_request.hpp
@@ -41,7 +41,9 @@
 /// Finds the service and kind of a request by its path, for one version of the settings.
 class RouteTable {
 public:
-  explicit RouteTable(const SiteSettings &Settings);
+  /// \param Seed where the sequences of shares begin; another one on each VM and for each table, so
+  /// that the first requests of all VMs do not go to the same share
+  explicit RouteTable(const SiteSettings &Settings, std::uint64_t Seed = 0);
 
   /// \brief Whether the table was made of copies of the same lists of routes and kinds, so that a
   /// table made of these settings would be equal.
@@ -86,7 +88,7 @@
   struct HostRoute {
     RouteSettings m_Settings;
     double m_WeightSum = 0.0;
-    /// How many times a share was chosen so far.
+    /// Increased with each choice of a share.
     mutable std::atomic<std::uint64_t> m_ChosenCount = 0;
   };
 
--- a/src/net/caller_request.cpp
+++ b/src/net/caller_request.cpp
@@ -3,12 +3,15 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <random>
 
 namespace vanillahill::net {
 
 namespace {
 
 constexpr std::size_t MaxKeyBytes = 64;
+/// Limit on the random begin of a route's sequence of shares.
+constexpr std::uint64_t MaxFirstCount = 1U << 20U;
 constexpr char FirstVisible = 0x21;
 constexpr char LastVisible = 0x7e;
 
@@ -69,7 +72,7 @@
 
 } // namespace
 
-RouteTable::RouteTable(const SiteSettings &Settings)
+RouteTable::RouteTable(const SiteSettings &Settings, std::uint64_t Seed)
     : m_ListedRoutes(Settings.m_Routes), m_ListedTenants(Settings.m_Tenants) {
   for (std::size_t Index = 0; Index < m_ListedTenants.size(); ++Index) {
     for (const KeyDigest &Key : m_ListedTenants[Index].m_Keys) {
@@ -85,8 +88,10 @@
       m_Routes[Id] = {Service.m_Id, Kind.m_Id, std::move(Name)};
     }
   }
+  std::mt19937_64 Random(Seed);
   for (const RouteSettings &Listed : Settings.m_Routes) {
     auto Added = std::make_unique<HostRoute>();
+    Added->m_ChosenCount = Random() % MaxFirstCount;
     Added->m_Settings = Listed;
     for (const RouteShare &Share : Listed.m_Shares) {
       Added->m_WeightSum += Share.m_Weight;
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -2,6 +2,8 @@
 
 #include "vanillahill/net/detail/caller_connection.hpp"
 
+#include <random>
+
 namespace vanillahill::net {
 
 namespace {
@@ -108,7 +110,7 @@
 void CallerServer::applySettings(const SiteSettings &Settings) {
   auto Routes = routes();
   if (!Routes || !Routes->isMadeOf(Settings)) {
-    Routes = std::make_shared<const RouteTable>(Settings);
+    Routes = std::make_shared<const RouteTable>(Settings, std::random_device{}());
   }
   const std::lock_guard Lock(m_Mutex);
   m_Limits = Settings.m_Callers;
