Documents from outside: depth, addresses and numbers are checked before they are used

A record whose state, service, address, capacity or warm-up time was nested 100,000 deep ended the process: the error text is made by a function that calls itself for each level. The record stays in the store, so each start ended again (processes that end by themselves, LOST). A frame of another VM did the same to decodeNews. Accepted as servers were addresses with ports out of range or without a port, and a capacity of 1,000,000,000.

Before: unit-platform-decode, unit-news and unit-platform-front ended with a segmentation fault in the new tests; the last one starts the real front with such records in the store.

--- a/src/fleet/news.cpp
+++ b/src/fleet/news.cpp
@@ -1,5 +1,7 @@
 #include "vanillahill/fleet/news.hpp"
 
+#include "vanillahill/core/nesting.hpp"
+
 #include <nlohmann/json.hpp>
 #include <zlib.h>
 
@@ -460,6 +462,9 @@
 }
 
 Json parseFrame(std::string_view Bytes) {
+  if (isCborTooDeep(Bytes)) {
+    throw std::invalid_argument("nests deeper than " + std::to_string(MaxNesting) + " levels");
+  }
   Json Frame = Json::from_cbor(Bytes.begin(), Bytes.end(), true, false);
   if (!Frame.is_array() || Frame.size() != 3 || Frame[0] != FormatVersion) {
     throw std::invalid_argument("not a message of this format version");
--- a/tests/unit-news.cpp
+++ b/tests/unit-news.cpp
@@ -18,6 +18,12 @@
   return std::get<T>(decodeNews(encodeNews(Message)).value());
 }
 
+TEST(News, ADeeplyNestedFrameIsRejected) {
+  constexpr std::size_t Levels = 1'000'000;
+  const std::string Deep(Levels, '\x81');
+  EXPECT_FALSE(decodeNews(Deep + '\0'));
+}
+
 TEST(News, EveryMessageTypeIsDecodedAsItWasEncoded) {
   const VmInfo Sender{.m_DataCenter = "dc1", .m_LocalVms = 7, .m_HasCatalog = true};
   const Hello Greeting = roundTrip(Hello{.m_Sender = Sender, .m_AsksForPeers = true});
--- a/tests/unit-platform-decode.cpp
+++ b/tests/unit-platform-decode.cpp
@@ -200,6 +200,47 @@
   EXPECT_FALSE(decodeServer("i-1", std::string(100000, '[')));
 }
 
+/// A record with a field of 100,000 levels ended every process that read it: the error text was
+/// made by a function that calls itself for each level.
+TEST(PlatformDecode, ADeeplyNestedFieldIsRejected) {
+  constexpr std::size_t Levels = 100'000;
+  const std::string Deep = std::string(Levels, '[') + std::string(Levels, ']');
+  for (const auto &[From, Before] :
+       std::map<std::string, std::string>{{"\"s1\"", ""},
+                                          {"\"10.1.1.1:80\"", ""},
+                                          {"\"capacity\": 5", "\"capacity\": "},
+                                          {"\"ready\"", ""},
+                                          {"\"2s\"", ""},
+                                          {"\"sequence\": 4", "\"sequence\": "},
+                                          {"\"v1\"", ""}}) {
+    EXPECT_FALSE(decodeServer("i-1", replaced(ServerText, From, Before + Deep))) << From;
+  }
+  EXPECT_FALSE(decodeConfiguration(replaced(ConfigurationText, "\"750ms\"", Deep)));
+  EXPECT_FALSE(decodeEvacuation(evacuationKey("dc1"), "{\"a\": " + Deep + "}"));
+  EXPECT_FALSE(decodeProcessSettings("{\"self\": " + Deep + "}"));
+  std::string After;
+  EXPECT_FALSE(decodeNewestPage(R"({"items": [], "has_more": false, "end": )" + Deep + "}", After));
+}
+
+/// Such a record names no server that could be used.
+TEST(PlatformDecode, AServerRecordOutOfRangeIsRejected) {
+  const auto IsRejected = [](std::string_view From, std::string_view To) {
+    return !decodeServer("i-1", replaced(ServerText, From, To)).has_value();
+  };
+  for (const char *Address : {"10.1.1.1:99999", "10.1.1.1:-1", "10.1.1.1:0", "10.1.1.1:", "x",
+                              ":80", "10.1.1.1:80x", "300.1.1.1:80"}) {
+    EXPECT_TRUE(IsRejected("10.1.1.1:80", Address)) << Address;
+  }
+  for (const char *Slots : {"1000000000", "65537", "1e400", "18446744073709551616"}) {
+    EXPECT_TRUE(IsRejected("\"capacity\": 5", std::string("\"capacity\": ") + Slots)) << Slots;
+  }
+  EXPECT_FALSE(IsRejected("\"capacity\": 5", "\"capacity\": 65536"));
+  for (const char *Number : {"18446744073709551615", "9223372036854775808", "1e30"}) {
+    EXPECT_TRUE(IsRejected("1764800000000", Number)) << Number;
+    EXPECT_TRUE(IsRejected("\"sequence\": 4", std::string("\"sequence\": ") + Number)) << Number;
+  }
+}
+
 TEST(PlatformDecode, ReadsDurations) {
   EXPECT_EQ(decodeDuration("1500ms"), milliseconds(1500));
   EXPECT_EQ(decodeDuration("2.5s"), milliseconds(2500));
--- a/tests/unit-platform-front.cpp
+++ b/tests/unit-platform-front.cpp
@@ -46,6 +46,27 @@
   EXPECT_LE(std::stoi(std::string(Request["Deadline-Ms"])), 700);
 }
 
+/// The record stays in the store, so that a process which ends at it would end at each start.
+TEST_F(FrontTest, OddServerRecordsDoNotKeepAVmFromServing) {
+  constexpr std::size_t Levels = 100'000;
+  const std::string Deep = std::string(Levels, '[') + std::string(Levels, ']');
+  PlatformServer Server("i-1");
+  m_Store.put("keyed.op", "config", configuration(3));
+  m_Store.put("keyed.servers", "i-deep", R"({"service": "s1", "state": )" + Deep + "}");
+  m_Store.put("keyed.servers", "i-port",
+              R"({"service": "s1", "address": "127.0.0.1:99999", "zone": "dc1", "capacity": 1,
+                  "state": "ready", "sequence": 1})");
+  m_Store.put("keyed.servers", "i-bytes", "\xff\x01");
+  add(Server);
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  EXPECT_EQ(Vm.ask("/look/1").result_int(), 200U);
+  m_Store.put("keyed.servers", "i-late", R"({"service": )" + Deep + "}");
+  PlatformServer Second("i-2");
+  add(Second);
+  EXPECT_EQ(Vm.ask("/look/2").result_int(), 200U);
+}
+
 TEST_F(FrontTest, IsReadyOnlyWithAConfigurationAndAServer) {
   PlatformServer Server("i-1");
   RunningFront Vm(m_Store);
