Refusals without a request id: the connection is not used again

A faulty server wrote an earlier refusal once more on a kept connection. It has no request id, so it was taken for the reply to the next request: that request's caller was told "not run" (503) for what ran (REFUSED), and a request that may be sent again went to a second server (TWICE).

A copy can only arrive on the connection of the refusal itself: that connection is closed after one, also after the refusal of a probe. Weighed: trusting such a reply only as the first one on a connection (a full server's refusal on a kept one would become "may have run"), and keeping the connection for requests that may run twice (the pool would have two kinds of idle connections). A refusal that has the id is kept apart from the next request by it.

--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -198,10 +198,11 @@
   if (!m_Reply || (!m_IsWritten && m_Reply->keep_alive() && !Protocol.m_Replies.m_TakesEarly)) {
     return;
   }
-  const bool Reuse = m_IsWritten && m_Reply->keep_alive() && !m_CloseAfterExchange;
+  const bool MayReuse = m_IsWritten && m_Reply->keep_alive() && !m_CloseAfterExchange;
   updateUsableUntil(*m_Reply);
   const auto IdleTime = keepAliveTime(*m_Reply);
   auto End = Protocol.m_ReadReply(std::move(*m_Reply), *m_Exchange);
+  const bool Reuse = MayReuse && !End.m_IsUnidentified;
   End.m_IdleTime = IdleTime;
   m_Reply.reset();
   // A server that asks for a pause, or for fewer requests, does not get what waits for a connection
--- a/tests/unit-platform-front.cpp
+++ b/tests/unit-platform-front.cpp
@@ -46,6 +46,32 @@
   EXPECT_LE(std::stoi(std::string(Request["Deadline-Ms"])), 700);
 }
 
+/// A refusal has no request id. Written once more on a kept connection, it was taken for the reply
+/// to the next request, which ran: its caller was told that it had not.
+TEST_F(FrontTest, ARefusalThatIsRepeatedIsNoReplyToTheNextRequest) {
+  std::atomic<int> Refused = 0;
+  std::atomic<int> Ran = 0;
+  PlatformServer Server("i-1", [&](const BackendRequest &Request) {
+    // Each connection has a thread of its own.
+    thread_local std::string Earlier;
+    if (Refused++ == 0) {
+      Earlier = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+      return Earlier;
+    }
+    ++Ran;
+    return Earlier + PlatformServer::reply(Request, "200 OK", "whole");
+  });
+  m_Store.put("keyed.op", "config", configuration(3));
+  add(Server);
+  RunningFront Vm(m_Store);
+  Vm.awaitReady();
+  Vm.ask("/post/1", "POST");
+  const int RanBefore = Ran;
+  const auto Answer = Vm.ask("/post/2", "POST");
+  EXPECT_EQ(Answer.result_int(), 200U);
+  EXPECT_EQ(Ran - RanBefore, 1);
+}
+
 /// The record stays in the store, so that a process which ends at it would end at each start.
 TEST_F(FrontTest, OddServerRecordsDoNotKeepAVmFromServing) {
   constexpr std::size_t Levels = 100'000;
