Tests of replies that are cut at each byte and closed in an orderly way

It does not happen here: replies with a length, in chunks and without a length, cut after each of their bytes, pass on the code as it was. Only a reply without a length may end with its connection, and only behind a whole head. Not covered: replies that other VMs pass on, cuts after 1xx, the callers' direction.

--- a/tests/net_fakes.hpp
+++ b/tests/net_fakes.hpp
@@ -73,6 +73,8 @@
 /// A backend server: each connection has a thread that answers requests with given bytes.
 class Backend {
 public:
+  /// Ends a reply after which the connection is closed.
+  static constexpr char CloseMark = '\0';
   /// Returns the raw reply to a request; an empty one closes the connection.
   using Script = std::function<std::string(const BackendRequest &)>;
 
@@ -138,11 +140,15 @@
         break;
       }
       ++m_Requests;
-      const auto Text = m_Script(Request);
-      if (Text.empty()) {
-        break;
+      auto Text = m_Script(Request);
+      const bool IsLast = Text.empty() || Text.back() == CloseMark;
+      if (IsLast && !Text.empty()) {
+        Text.pop_back();
       }
       asio::write(Stream, asio::buffer(Text), Failure);
+      if (IsLast) {
+        break;
+      }
     }
     --m_OpenConnections;
     Stream.shutdown(Tcp::socket::shutdown_both, Failure);
--- a/tests/unit-platform-front.cpp
+++ b/tests/unit-platform-front.cpp
@@ -46,6 +46,67 @@
   EXPECT_LE(std::stoi(std::string(Request["Deadline-Ms"])), 700);
 }
 
+/// A reply is cut at each of its bytes, and the connection is closed in an orderly way.
+class FrontCutReply : public FrontTest {
+protected:
+  /// Answers of the front, by the number of bytes that the server sent.
+  std::map<std::size_t, CallerReply> answersToCuts(const std::string &Head,
+                                                   const std::string &Body) {
+    std::atomic<std::size_t> Bytes = 0;
+    PlatformServer Server("i-1", [&](const BackendRequest &Request) {
+      const std::string Whole =
+          "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
+          "\r\nResponse-Signature: sig\r\n" + Head + "\r\n" + Body;
+      return Whole.substr(0, Bytes) + Backend::CloseMark;
+    });
+    m_Store.put("keyed.op", "config", configuration(3));
+    add(Server);
+    RunningFront Vm(m_Store);
+    Vm.awaitReady();
+    std::map<std::size_t, CallerReply> Answers;
+    const std::size_t HeadBytes = std::string("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\n"
+                                              "Response-Signature: sig\r\n")
+                                      .size() +
+                                  Head.size() + 2;
+    for (std::size_t Cut = 1; Cut <= HeadBytes + Body.size(); ++Cut) {
+      Bytes = Cut;
+      Answers.emplace(Cut, Vm.ask("/post/1", "POST"));
+    }
+    return Answers;
+  }
+};
+
+TEST_F(FrontCutReply, AReplyWithALengthIsCompleteOnlyWithItsLastByte) {
+  const auto Answers = answersToCuts("Content-Length: 5\r\n", "whole");
+  for (const auto &[Cut, Answer] : Answers) {
+    const bool IsWhole = Cut == Answers.rbegin()->first;
+    EXPECT_EQ(Answer.result_int() == 200U, IsWhole) << "cut after " << Cut << " bytes";
+    EXPECT_EQ(Answer.body() == "whole", IsWhole) << "cut after " << Cut << " bytes";
+  }
+}
+
+TEST_F(FrontCutReply, AReplyInChunksIsCompleteOnlyWithItsLastByte) {
+  const auto Answers =
+      answersToCuts("Transfer-Encoding: chunked\r\n", "3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n");
+  for (const auto &[Cut, Answer] : Answers) {
+    const bool IsWhole = Cut == Answers.rbegin()->first;
+    EXPECT_EQ(Answer.result_int() == 200U, IsWhole) << "cut after " << Cut << " bytes";
+  }
+}
+
+/// A reply may have no length and end with its connection, but only behind a whole head.
+TEST_F(FrontCutReply, AHeadThatIsCutIsNoReplyThatEndsWithItsConnection) {
+  const std::string Body = "whole";
+  const auto Answers = answersToCuts("X-Own: kept\r\n", Body);
+  const std::size_t HeadBytes = Answers.rbegin()->first - Body.size();
+  for (const auto &[Cut, Answer] : Answers) {
+    EXPECT_EQ(Answer.result_int() == 200U, Cut >= HeadBytes) << "cut after " << Cut << " bytes";
+    if (Cut >= HeadBytes) {
+      EXPECT_EQ(Answer.body(), Body.substr(0, Cut - HeadBytes));
+    }
+  }
+}
+
 /// A refusal has no request id. Written once more on a kept connection, it was taken for the reply
 /// to the next request, which ran: its caller was told that it had not.
 TEST_F(FrontTest, ARefusalThatIsRepeatedIsNoReplyToTheNextRequest) {
