--- a/include/vanillahill/core/nesting.hpp
+++ b/include/vanillahill/core/nesting.hpp
@@ -7,8 +7,8 @@
 
 namespace vanillahill {
 
-/// Limit on the nesting of arrays and objects in a document. Code that visits a document calls itself
-/// for each level, so that a deep one would exhaust the stack.
+/// Limit on the nesting of arrays and objects in a document. Code that visits a document calls
+/// itself for each level, so that a deep one would exhaust the stack.
 inline constexpr std::size_t MaxNesting = 32;
 
 /// \brief Whether a JSON text nests deeper than MaxNesting; the text need not be valid.
--- a/include/vanillahill/fleet/standing_read.hpp
+++ b/include/vanillahill/fleet/standing_read.hpp
@@ -7,10 +7,10 @@
 
 #include <algorithm>
 #include <cmath>
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <tuple>
 
 namespace vanillahill::fleet {
 
@@ -21,7 +21,9 @@
   /// Distinguishes VMs with equal links.
   std::uint32_t m_Vm = 0;
 
-  auto operator<=>(const ReaderRank &) const = default;
+  bool operator<(const ReaderRank &Other) const {
+    return std::tie(m_LinkClass, m_Vm) < std::tie(Other.m_LinkClass, Other.m_Vm);
+  }
 };
 
 /// \param LinkBitsPerSecond rate of the VM's link; 0 when it is not known
--- a/include/vanillahill/net/detail/fleet_runtime.hpp
+++ b/include/vanillahill/net/detail/fleet_runtime.hpp
@@ -26,6 +26,6 @@
 };
 
 /// \brief The machine's clock, a timer and a socket.
-FleetRuntime systemRuntime(asio::io_context &Io, std::shared_ptr<Datagrams> DatagramSocket);
+FleetRuntime systemRuntime(asio::io_context &Io, const std::shared_ptr<Datagrams> &DatagramSocket);
 
 } // namespace vanillahill::net
--- a/src/net/fleet_runtime.cpp
+++ b/src/net/fleet_runtime.cpp
@@ -4,7 +4,7 @@
 
 namespace vanillahill::net {
 
-FleetRuntime systemRuntime(asio::io_context &Io, std::shared_ptr<Datagrams> DatagramSocket) {
+FleetRuntime systemRuntime(asio::io_context &Io, const std::shared_ptr<Datagrams> &DatagramSocket) {
   const auto DueTimer = std::make_shared<asio::steady_timer>(Io);
   return {
       .m_Now = [] { return SystemClock().now(); },
--- a/tests/distribution_fleet.hpp
+++ b/tests/distribution_fleet.hpp
@@ -241,7 +241,7 @@
             .m_OnServerFailed = [](ServerId) {},
             .m_FetchSnapshot =
                 [this, Index](const std::string &Ip, const fleet::SnapshotRequest &Wanted,
-                              SnapshotDone Done) { fetch(Index, Ip, Wanted, std::move(Done)); }});
+                              const SnapshotDone &Done) { fetch(Index, Ip, Wanted, Done); }});
     m_Vms.push_back(std::move(Added));
   }
 
@@ -426,7 +426,7 @@
   }
 
   void fetch(std::size_t Index, const std::string &Ip, const fleet::SnapshotRequest &Wanted,
-             SnapshotDone Done) {
+             const SnapshotDone &Done) {
     const TimePoint AskedAt = reached();
     const auto Fail = [this, Index, Done](TimePoint When, const char *Why) {
       at(When, Index, [Done, Why] {
--- a/tests/unit-fleet-client.cpp
+++ b/tests/unit-fleet-client.cpp
@@ -119,7 +119,7 @@
   std::shared_ptr<FleetClient> start(const std::string &Ip, Duration Bound,
                                      std::vector<std::string> SeedIps, Store &Source,
                                      std::string DataCenter = "dc1") {
-    auto PeerSocket = Datagrams::open(m_Io, Ip, m_Port).value();
+    const auto PeerSocket = Datagrams::open(m_Io, Ip, m_Port).value();
     StoreAccess Access{.m_Read =
                            [this, &Source, Ip](Stream Which, std::optional<std::uint64_t> From,
                                                Duration /*HoldTime*/,
@@ -140,7 +140,7 @@
                        .m_DecodeEvacuation = &decodeEvacuation,
                        .m_EvacuationKey = &evacuationKey};
     auto Client = std::make_shared<FleetClient>(
-        systemRuntime(m_Io, std::move(PeerSocket)), std::move(Access),
+        systemRuntime(m_Io, PeerSocket), std::move(Access),
         FleetClientOptions{
             .m_Follower = {.m_Bound = Bound},
             .m_Peers = {.m_SelfIp = Ip,
