--- a/include/vanillahill/fleet/standing_read.hpp
+++ b/include/vanillahill/fleet/standing_read.hpp
@@ -43,18 +43,17 @@
 /// The store answers a read when a record is there, or after the time for which the read may be
 /// held. One VM of the fleet keeps such a read at the store, so that a new record is noticed at
 /// once; it announces each answer, and the others read only when no announcement arrives. Any VM
-/// that reads becomes the keeper until it hears from a better one, so nothing is lost with a VM but
-/// the time until the next one reads. Does no I/O itself. Not thread safe.
+/// that reads becomes the keeper until one with a lower rank announces a read, so the loss of a VM
+/// costs only the time until the next one reads. Does no I/O itself. Not thread safe.
 class StandingRead {
 public:
   /// Time for which the store may hold a read, as a share of the bound.
   static constexpr double HoldShare = 0.2;
-  /// A keeper that is not heard for this share of the bound is forgotten: two answers were missed.
+  /// A keeper without an announcement for this share of the bound is forgotten: two are missing.
   static constexpr double KeeperLifetimeShare = 0.5;
   /// After a failed read, a VM does not replace another keeper for this many bounds.
   static constexpr int FailurePauseBounds = 4;
-  /// A store that answers at once although it has no record is asked to hold a read again after
-  /// this time.
+  /// A store that answers at once although it has no record gets no read to hold for this time.
   static constexpr Duration NotHeldPause = std::chrono::seconds(30);
 
   /// \param Own rank of this VM; nothing when it keeps no read
@@ -66,9 +65,7 @@
   bool isKeeper(TimePoint Now) const { return m_IsKeeper && Now >= m_NotHeldUntil; }
 
   /// \brief Whether another VM is known to keep a read.
-  bool hasOther(TimePoint Now) const {
-    return m_OtherHeardAt && Now < lifetimeFrom(*m_OtherHeardAt);
-  }
+  bool hasOther(TimePoint Now) const { return m_OtherSeenAt && Now < lifetimeFrom(*m_OtherSeenAt); }
 
   /// \brief Time for which the store may hold a read.
   Duration holdTime() const { return shareOfBound(HoldShare); }
@@ -80,7 +77,7 @@
     if (WasRefused) {
       m_NotHeldUntil = Now + NotHeldPause;
     }
-    m_IsKeeper = m_Own && (!m_BetterHeardAt || Now >= lifetimeFrom(*m_BetterHeardAt));
+    m_IsKeeper = m_Own && (!m_BetterSeenAt || Now >= lifetimeFrom(*m_BetterSeenAt));
   }
 
   /// \brief Reports that a read of this VM failed.
@@ -91,17 +88,17 @@
 
   /// \brief Takes the announcement of another VM that keeps a read.
   /// \return whether this VM should replace it, since its link is faster
-  bool heard(const ReaderRank &Other, TimePoint Now) {
-    m_OtherHeardAt = Now;
+  bool noteKeeper(const ReaderRank &Other, TimePoint Now) {
+    m_OtherSeenAt = Now;
     if (!m_Own) {
       return false;
     }
     if (Other < *m_Own) {
-      m_BetterHeardAt = Now;
+      m_BetterSeenAt = Now;
       m_IsKeeper = false;
       return false;
     }
-    const bool HasBetter = m_BetterHeardAt && Now < lifetimeFrom(*m_BetterHeardAt);
+    const bool HasBetter = m_BetterSeenAt && Now < lifetimeFrom(*m_BetterSeenAt);
     const bool HasFailed = m_FailedAt && Now - *m_FailedAt < FailurePauseBounds * m_Bound;
     return m_Own->m_LinkClass < Other.m_LinkClass && !m_IsKeeper && !HasBetter && !HasFailed;
   }
@@ -110,17 +107,17 @@
   Duration shareOfBound(double Share) const {
     return std::chrono::duration_cast<Duration>(m_Bound * Share);
   }
-  TimePoint lifetimeFrom(TimePoint HeardAt) const {
-    return HeardAt + shareOfBound(KeeperLifetimeShare);
+  TimePoint lifetimeFrom(TimePoint SeenAt) const {
+    return SeenAt + shareOfBound(KeeperLifetimeShare);
   }
 
   std::optional<ReaderRank> m_Own;
   Duration m_Bound;
   bool m_IsKeeper = false;
   TimePoint m_NotHeldUntil = TimePoint::min();
-  std::optional<TimePoint> m_OtherHeardAt;
-  /// When a VM with a lower rank was heard last.
-  std::optional<TimePoint> m_BetterHeardAt;
+  std::optional<TimePoint> m_OtherSeenAt;
+  /// When the last announcement of a VM with a lower rank arrived.
+  std::optional<TimePoint> m_BetterSeenAt;
   std::optional<TimePoint> m_FailedAt;
 };
 
--- a/include/vanillahill/fleet/vm_info.hpp
+++ b/include/vanillahill/fleet/vm_info.hpp
@@ -28,7 +28,7 @@
   /// Zero for a VM of a version without them.
   std::uint32_t m_Capabilities = 0;
 
-  /// See ReaderRank; UnknownLink for a VM of a version that does not tell it.
+  /// See ReaderRank; UnknownLink for a VM of an earlier version.
   std::uint32_t m_LinkClass = UnknownLink;
 
   static constexpr std::uint32_t UnknownLink = 255;
--- a/include/vanillahill/net/detail/backend_exchange.hpp
+++ b/include/vanillahill/net/detail/backend_exchange.hpp
@@ -46,8 +46,8 @@
   bool m_WrongServer = false;
   /// A reply was received, whatever its content.
   bool m_Answered = false;
-  /// Nothing in the reply tells to which request it belongs. A copy of it that arrives later would
-  /// be taken for the reply to the next request.
+  /// The reply does not identify its request. A copy of it that arrives later would be taken for
+  /// the reply to the next request.
   bool m_IsUnidentified = false;
 };
 
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -196,7 +196,7 @@
   hearEra(Range.m_To.m_Era);
   StreamState &State = state(Range.m_Stream);
   State.m_AnnouncedTo = std::max(State.m_AnnouncedTo, Range.m_To);
-  const bool ShouldReplace = Range.m_KeeperRank && m_Standing.heard(*Range.m_KeeperRank, Now);
+  const bool ShouldReplace = Range.m_KeeperRank && m_Standing.noteKeeper(*Range.m_KeeperRank, Now);
   if (!reaches(Range)) {
     // Records between the position and the range are missing.
     readSoon(Range.m_Stream, Range.m_To, Now);
--- a/tests/unit-news.cpp
+++ b/tests/unit-news.cpp
@@ -18,6 +18,25 @@
   return std::get<T>(decodeNews(encodeNews(Message)).value());
 }
 
+TEST(News, ANoticeAndAKeptReadAreDecodedAsTheyWereEncoded) {
+  StoreNews Message{.m_Sender = {.m_DataCenter = "dc1", .m_LinkClass = 8},
+                    .m_Age = milliseconds(700),
+                    .m_HeldFor = milliseconds(500),
+                    .m_KeeperRank = ReaderRank{.m_LinkClass = 8, .m_Vm = 12},
+                    .m_IsPartial = true,
+                    .m_IsNotice = true,
+                    .m_HolderIp = "10.0.0.1"};
+  const StoreNews Read = roundTrip(Message);
+  EXPECT_EQ(Read.m_Sender.m_LinkClass, 8U);
+  EXPECT_EQ(Read.m_HeldFor, milliseconds(500));
+  ASSERT_TRUE(Read.m_KeeperRank);
+  EXPECT_EQ(Read.m_KeeperRank->m_Vm, 12U);
+  EXPECT_TRUE(Read.m_IsNotice);
+  EXPECT_EQ(Read.m_HolderIp, "10.0.0.1");
+  Message.m_HeldFor = seconds(1);
+  EXPECT_FALSE(decodeNews(encodeNews(Message))) << "held for longer than its age";
+}
+
 TEST(News, ADeeplyNestedFrameIsRejected) {
   constexpr std::size_t Levels = 1'000'000;
   const std::string Deep(Levels, '\x81');
--- a/tests/unit-store-client.cpp
+++ b/tests/unit-store-client.cpp
@@ -100,6 +100,34 @@
 
 /// The store leaves out records beyond the limit of a read. The VM took the end of the stream for
 /// its position and never read them.
+/// The store may hold a read for longer than a call without any byte may last otherwise.
+TEST(StoreClient, AReadThatTheStoreHoldsIsNoFailure) {
+  const auto SentAt = SystemClock().now();
+  net::fakes::Backend Store([](const net::fakes::BackendRequest &Request) {
+    EXPECT_NE(Request.target().find("wait_ms=1000"), std::string::npos) << Request.target();
+    std::this_thread::sleep_for(milliseconds(900));
+    return largeAnswer(10);
+  });
+  net::asio::io_context Io{1};
+  const auto Client =
+      std::make_shared<StoreClient>(Io, "127.0.0.1:" + std::to_string(Store.port()));
+  std::optional<StoreResult> Result;
+  std::optional<fleet::Position> BegunTo;
+  Client->readStream(
+      fleet::Stream::Configuration, 0, std::chrono::seconds(1),
+      [&](const fleet::Position &To, std::uint64_t, Duration) { BegunTo = To; },
+      [&](StoreResult Read) {
+        Result.emplace(std::move(Read));
+        Client->close();
+      });
+  Io.run();
+  ASSERT_TRUE(Result && *Result);
+  EXPECT_GE((*Result)->m_AnsweredAfter, milliseconds(900));
+  EXPECT_LE((*Result)->m_AnsweredAfter, SystemClock().now() - SentAt);
+  ASSERT_TRUE(BegunTo);
+  EXPECT_EQ(BegunTo->m_Offset, 1U);
+}
+
 TEST(StoreClient, RecordsBehindTheLimitOfAReadAreNotSkipped) {
   const SlowStore Store(largeAnswer(1000, 3), 1, milliseconds(0));
   const StoreResult Read = readConfiguration(Store.address());
