Fake server of the tests: the mark that closes a connection cannot end a reply of the store

A reply of the fake store ends with zero bytes, so the mark, a zero byte, closed the connection of each read that had no records: store_read_failed, "partial message", then a back-off. FrontTest.ADrainingServerGetsNoRequestsOnceItsRecord- WasRead failed once under the sanitizers for it, 1.3 s late.

--- a/tests/net_fakes.hpp
+++ b/tests/net_fakes.hpp
@@ -74,7 +74,7 @@
 class Backend {
 public:
   /// Ends a reply after which the connection is closed.
-  static constexpr char CloseMark = '\0';
+  static constexpr std::string_view CloseMark = "<closes here>";
   /// Returns the raw reply to a request; an empty one closes the connection.
   using Script = std::function<std::string(const BackendRequest &)>;
 
@@ -141,9 +141,10 @@
       }
       ++m_Requests;
       auto Text = m_Script(Request);
-      const bool IsLast = Text.empty() || Text.back() == CloseMark;
-      if (IsLast && !Text.empty()) {
-        Text.pop_back();
+      const bool HasMark = Text.ends_with(CloseMark);
+      const bool IsLast = Text.empty() || HasMark;
+      if (HasMark) {
+        Text.resize(Text.size() - CloseMark.size());
       }
       asio::write(Stream, asio::buffer(Text), Failure);
       if (IsLast) {
--- a/tests/unit-platform-front.cpp
+++ b/tests/unit-platform-front.cpp
@@ -57,7 +57,7 @@
       const std::string Whole =
           "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(Request["Request-Id"]) +
           "\r\nResponse-Signature: sig\r\n" + Head + "\r\n" + Body;
-      return Whole.substr(0, Bytes) + Backend::CloseMark;
+      return Whole.substr(0, Bytes).append(Backend::CloseMark);
     });
     m_Store.put("keyed.op", "config", configuration(3));
     add(Server);
