--- a/src/net/fleet_client_snapshots.cpp
+++ b/src/net/fleet_client_snapshots.cpp
@@ -24,7 +24,7 @@
 /// The same where no link is fast.
 constexpr std::size_t SlowReadersPerDataCenter = 8;
 
-/// An announcement of no records, which tells few VMs where they can be fetched.
+/// An announcement without records, by which a VM offers its snapshot to a few others.
 bool isOffer(const fleet::StoreNews &Message) {
   return Message.m_IsPartial && Message.m_From == Message.m_To;
 }
@@ -88,8 +88,8 @@
   return m_Peers.localRank(OwnClass) < (HasFast ? FirstPerDataCenter : SlowReadersPerDataCenter);
 }
 
-/// Tells the VMs of this data centre which VM of another one has long records that are missing
-/// here.
+/// Announces to the VMs of this data centre which VM of another one has long records that are
+/// missing here.
 void FleetClient::passHolder(std::string_view HolderIp, const fleet::StoreNews &Message) {
   fleet::StoreNews Notice = Message;
   Notice.m_IsForRelay = false;
@@ -99,7 +99,7 @@
   send(m_Peers.local(), Notice);
 }
 
-/// Tells all VMs that a long configuration is at the store.
+/// Announces to all VMs that a long configuration is at the store.
 void FleetClient::giveNotice(const fleet::Position &To, TimePoint AskedAt, Duration HeldFor) {
   const auto Now = m_Runtime.m_Now();
   fleet::StoreNews Notice{.m_Sender = selfInfo(),
