--- /dev/null
+++ b/review/stand/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for clients, backend servers and the platform, and a test bed for them."""
