review: case 3, machines that know no other one count the whole cap each; cases in order

Cause: a machine that knows nobody makes itself the one that counts a tenant's requests, for the whole rate. Run: review/3/run.sh, all of seven machines lose power, the three that the seeds name are back 5 s later.

--- a/review/stand/bed.py
+++ b/review/stand/bed.py
@@ -49,7 +49,7 @@
 
     def write_settings(self):
         bed = self.bed
-        seeds = [f"{bed.prefix}.{10 + n}:{CONTROL}" for n in range(min(3, bed.front_count))]
+        seeds = [f"{front.ip}:{CONTROL}" for front in bed.seed_fronts]
         self.settings.write_text(json.dumps({
             "self": {"node": self.name, "role": "front", "machine_class": "front",
                      "serves": ["front", "control"], "ip": self.ip, "zone": self.zone,
@@ -69,9 +69,9 @@
                                       "call_bytes": 2097152, "keep": "300s", "part_mb": 200,
                                       "ttl_min": "1000ms"}},
             "terms": {"contracts": ["base", "drain", "config", "cost", "retry", "recover",
-                                    "health", "platform"],
+                                    "health", "platform", *bed.more_contracts],
                       "tolerate": {"machines": 1, "zones": 0, "regions": 0},
-                      "bounds": BOUNDS}}))
+                      "bounds": {**BOUNDS, **bed.more_bounds}}}))
 
     def start(self):
         environment = {"PATH": os.environ.get("PATH", "/usr/bin:/bin"),
@@ -133,6 +133,10 @@
         self.prefix = self.free_prefix()
         self.store = Store(self.clock)
         self.fronts = [Front(self, number) for number in range(fronts)]
+        self.seed_fronts = self.fronts[:3]
+        self.more_contracts = []
+        self.more_bounds = {}
+        self.tenants = {}
         self.servers = []
         self.arrivals = []
         self.sent = []
@@ -170,6 +174,8 @@
         resources += [{"resource_kind": "services", "metadata": {"name": name},
                        "spec": {"health_path": "/health", "max_connections": 220,
                                 "protocol": "h1", "tls": False}} for name in services]
+        resources += [{"resource_kind": "tenants", "metadata": {"name": name}, "spec": spec}
+                      for name, spec in self.tenants.items()]
         resources.append({"resource_kind": "limits", "metadata": {}, "spec": limits})
         text = json.dumps({"version": f"r{self.version}", "resources": resources})
         at = self.store.append("keyed.op", "config", text.encode())
