--- a/review/stand/bed.py
+++ b/review/stand/bed.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import uuid
@@ -236,10 +237,10 @@
 
 
 def play(case_file, scenario, limit_s=110.0):
-    """Runs scenario(bed) and ends with its verdict: 1 broken, 0 held, 2 could not run."""
-    import sys
-
+    """Runs scenario(case) and ends with its verdict: 1 broken, 0 held, 2 could not run."""
     case = pathlib.Path(case_file).resolve().parent
+    # So that the processes are ended also when run.sh ends this one.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def run():
         return await asyncio.wait_for(scenario(case), limit_s)
