Log: which completion keeps a crash from being held against a request

A crash of which nothing is held against the request left no line, and "content", a hash of method, host, target and length of the body, does not tell requests of one path and length apart.

New line crash_not_blamed, with the completed copy and its age; "digest" beside "content"; crash_report_changed with outcome "completed" names the copy.

--- a/include/vanillahill/kernel/decision.hpp
+++ b/include/vanillahill/kernel/decision.hpp
@@ -2,6 +2,7 @@
 /// Records of the kernel's decisions about requests, with the inputs to each decision. For logs.
 #pragma once
 
+#include "vanillahill/core/crash_report.hpp"
 #include "vanillahill/core/ids.hpp"
 #include "vanillahill/core/time.hpp"
 
@@ -53,6 +54,9 @@
   ServerWarm,
   /// More servers have crashed under a request than was known, or the request was cleared.
   CrashReportChanged,
+  /// A server crashed under a request, which is not held against the request since a server had
+  /// completed it shortly before.
+  CrashNotBlamed,
   /// No server answers this VM any more.
   ServersUnreachable,
   /// A server has answered this VM again.
@@ -78,7 +82,7 @@
   Duration m_Expected{};
   /// Servers that were asked for their load.
   std::uint32_t m_Asked = 0;
-  /// Time since the request arrived, or since the attempt was sent.
+  /// Time since the request arrived, since the attempt was sent, or since a request was completed.
   Duration m_Took{};
   /// Time left until the deadline.
   Duration m_TimeLeft{};
@@ -86,11 +90,11 @@
   std::optional<double> m_RequestLimit = std::nullopt;
   /// Requests per second of these that this VM may send.
   std::optional<double> m_LimitShare = std::nullopt;
-  /// At how many moments servers crashed under a request, the trials of it since, and its
-  /// RequestContent::m_Hash.
+  /// At how many moments servers crashed under a request, the trials of it since, and what it asks
+  /// for. m_Request is then the completed request that cleared it.
   std::optional<std::uint32_t> m_Crashes = std::nullopt;
   std::uint32_t m_Trials = 0;
-  std::uint64_t m_ContentHash = 0;
+  RequestContent m_Content = {};
   /// How an attempt ended, why the request was refused, or where a statement of the server stood.
   std::string_view m_Outcome = {};
   /// How the connection of an attempt ended whose outcome is not known; empty if it did not end.
--- a/include/vanillahill/kernel/poison_tracker.hpp
+++ b/include/vanillahill/kernel/poison_tracker.hpp
@@ -24,6 +24,14 @@
   std::function<bool(RequestId)> m_IsRelayed;
 };
 
+/// A request that a server completed.
+struct Completion {
+  RequestId m_Request{};
+  /// RequestContent::m_Hash.
+  std::uint64_t m_Hash = 0;
+  TimePoint m_At{};
+};
+
 /// The requests under which servers crashed. The reports of all VMs are merged: the union of the
 /// crashes, so neither order, loss nor duplicates of announcements matter. The verdict counts the
 /// moments at which servers crashed: whatever servers that crash at the same moment have in common,
@@ -89,13 +97,19 @@
   /// \return the report to announce: the sending is a trial, and no other VM is to make another one
   std::optional<CrashReport> recordSending(const RequestContent &Content, TimePoint Now);
 
+  /// What recordCrash() did.
+  struct Recorded {
+    /// To be announced; not set if nothing is new.
+    std::optional<CrashReport> m_Report;
+    /// The completion for which the crash is not held against the request.
+    std::optional<Completion> m_ClearedBy;
+  };
+
   /// \brief Notes that a server crashed while it ran the request.
-  /// \return the report to announce, if this is new
-  std::optional<CrashReport> recordCrash(const RequestContent &Content, ServerId Server,
-                                         TimePoint Now);
+  Recorded recordCrash(const RequestContent &Content, ServerId Server, TimePoint Now);
 
-  /// \brief Notes that a server completed a request with this RequestContent::m_Hash.
-  void noteCompletion(std::uint64_t Hash, TimePoint Now);
+  /// \brief Remembers that a server completed a request.
+  void noteCompletion(const Completion &Done);
 
   /// \brief Notes that a server completed the request.
   /// \return the report to announce, if the request was not clear before
@@ -107,6 +121,8 @@
     bool m_IsChanged = false;
     /// To be announced, as the sender knows less.
     std::optional<CrashReport> m_Answer;
+    /// The completion on this VM that clears the request.
+    std::optional<Completion> m_ClearedBy;
   };
 
   /// \brief Merges another VM's report.
@@ -148,7 +164,7 @@
   const Entry *find(const RequestContent &Content) const;
   Entry &add(const RequestContent &Content, TimePoint Now);
   void makeRoom(TimePoint Now);
-  bool hasCompletedLately(std::uint64_t Hash, TimePoint Now) const;
+  std::optional<Completion> recentCompletion(const RequestContent &Content, TimePoint Now) const;
   static bool addCrash(Entry &Known, ServerId Server, TimePoint At);
   void updateBlock(Entry &Known, TimePoint Now);
   std::optional<CrashReport> announcementOf(Entry &Known, TimePoint Now);
@@ -166,7 +182,7 @@
   /// RequestContent::m_Hash of each request.
   std::unordered_multiset<std::uint64_t> m_Hashes;
   /// The last completed requests; the next one replaces that at m_NextCompletion.
-  std::vector<std::pair<std::uint64_t, TimePoint>> m_Completions;
+  std::vector<Completion> m_Completions;
   std::size_t m_NextCompletion = 0;
   std::mt19937_64 m_Random;
   double m_AnnouncementsLeft = AnnouncementsPerSecond;
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -139,8 +139,13 @@
   void checkServer(ServerId Server, TimePoint Now, Actions &Out);
   void noteServerAlive(ServerId Server) { m_Unconfirmed.erase(Server); }
   void noteServerCrashed(ServerId Server, TimePoint Now, Actions &Out);
-  void appendCrashReport(const CrashReport &Report, ServerId Server, std::string_view Source,
-                         TimePoint Now, Actions &Out);
+  /// The server that crashed or answered, and the request that it completed.
+  struct CrashEvidence {
+    ServerId m_Server{};
+    std::optional<RequestId> m_Request = std::nullopt;
+  };
+  void appendCrashReport(const CrashReport &Report, const CrashEvidence &Evidence,
+                         std::string_view Source, TimePoint Now, Actions &Out);
 
   // Decisions for logs.
   void appendAttemptEnd(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now,
--- a/src/kernel/node_fleet.cpp
+++ b/src/kernel/node_fleet.cpp
@@ -79,7 +79,16 @@
     Out.push_back(Decision{.m_Type = DecisionType::CrashReportChanged,
                            .m_Crashes = static_cast<std::uint32_t>(Moments),
                            .m_Trials = Report.m_Trials,
-                           .m_ContentHash = Report.m_Content.m_Hash,
+                           .m_Content = Report.m_Content,
+                           .m_Outcome = "vm"});
+  }
+  if (const auto &Done = Merged.m_ClearedBy) {
+    Out.push_back(Decision{.m_Type = DecisionType::CrashNotBlamed,
+                           .m_Request = Done->m_Request,
+                           .m_Took = Now - Done->m_At,
+                           .m_Crashes = static_cast<std::uint32_t>(Report.m_Crashes.size()),
+                           .m_Trials = Report.m_Trials,
+                           .m_Content = Report.m_Content,
                            .m_Outcome = "vm"});
   }
   if (Merged.m_Answer) {
--- a/src/kernel/poison_tracker.cpp
+++ b/src/kernel/poison_tracker.cpp
@@ -150,33 +150,36 @@
   return IsTrial ? announcementOf(*Known, Now) : std::nullopt;
 }
 
-void PoisonTracker::noteCompletion(std::uint64_t Hash, TimePoint Now) {
+void PoisonTracker::noteCompletion(const Completion &Done) {
   if (m_Completions.size() < MaxCompletions) {
-    m_Completions.emplace_back(Hash, Now);
+    m_Completions.push_back(Done);
     return;
   }
-  m_Completions[m_NextCompletion] = {Hash, Now};
+  m_Completions[m_NextCompletion] = Done;
   m_NextCompletion = (m_NextCompletion + 1) % MaxCompletions;
 }
 
-bool PoisonTracker::hasCompletedLately(std::uint64_t Hash, TimePoint Now) const {
-  return std::any_of(m_Completions.begin(), m_Completions.end(), [=](const auto &Each) {
-    return Each.first == Hash && Now - Each.second < CompletionLifetime;
-  });
+std::optional<Completion> PoisonTracker::recentCompletion(const RequestContent &Content,
+                                                          TimePoint Now) const {
+  const auto Found =
+      std::find_if(m_Completions.begin(), m_Completions.end(), [&](const Completion &Each) {
+        return Each.m_Hash == Content.m_Hash && Now - Each.m_At < CompletionLifetime;
+      });
+  return Found != m_Completions.end() ? std::optional(*Found) : std::nullopt;
 }
 
-std::optional<CrashReport> PoisonTracker::recordCrash(const RequestContent &Content,
-                                                      ServerId Server, TimePoint Now) {
-  if (hasCompletedLately(Content.m_Hash, Now)) {
-    return std::nullopt;
+PoisonTracker::Recorded PoisonTracker::recordCrash(const RequestContent &Content, ServerId Server,
+                                                   TimePoint Now) {
+  if (const auto Done = recentCompletion(Content, Now)) {
+    return {.m_ClearedBy = Done};
   }
   Entry &Known = add(Content, Now);
   Known.m_SeenAt = Now;
   if (!addCrash(Known, Server, Now)) {
-    return std::nullopt;
+    return {};
   }
   updateBlock(Known, Now);
-  return announcementOf(Known, Now);
+  return {.m_Report = announcementOf(Known, Now)};
 }
 
 std::optional<CrashReport> PoisonTracker::recordCompletion(const RequestContent &Content,
@@ -219,7 +222,8 @@
       Known.m_Crashes.size() >= MomentsToSuspect &&
       (Report.m_Crashes.size() < Known.m_Crashes.size() || Report.m_Trials < Known.m_Trials);
   const bool IsSuspect = Known.m_Crashes.size() >= MomentsToSuspect;
-  if (IsSuspect && hasCompletedLately(Report.m_Content.m_Hash, Now)) {
+  Result.m_ClearedBy = IsSuspect ? recentCompletion(Report.m_Content, Now) : std::nullopt;
+  if (Result.m_ClearedBy) {
     Result.m_Answer = recordCompletion(Report.m_Content, Now);
   } else if (!IsOutdated && !KnowsLess) {
     Known.m_AnnouncedAt = Now;
--- a/src/kernel/probed/dispatcher_poison.cpp
+++ b/src/kernel/probed/dispatcher_poison.cpp
@@ -71,14 +71,16 @@
   noteServerAlive(Sent.m_Server);
   if (m_Context.m_Contents.m_Hash) {
     if (const auto Hash = m_Context.m_Contents.m_Hash(Sent.m_Request)) {
-      m_Context.m_Poison.noteCompletion(*Hash, Now);
+      m_Context.m_Poison.noteCompletion(
+          {.m_Request = Sent.m_Request, .m_Hash = *Hash, .m_At = Now});
     }
   }
   const auto Content = trackedContent(Sent.m_Request);
   const auto Report =
       Content ? m_Context.m_Poison.recordCompletion(*Content, Now) : std::optional<CrashReport>();
   if (Report) {
-    appendCrashReport(*Report, Sent.m_Server, "completed", Now, Out);
+    appendCrashReport(*Report, {.m_Server = Sent.m_Server, .m_Request = Sent.m_Request},
+                      "completed", Now, Out);
   }
 }
 
@@ -110,23 +112,35 @@
     return;
   }
   for (const RequestContent &Content : Lost.mapped().m_Contents) {
-    if (const auto Report = m_Context.m_Poison.recordCrash(Content, Server, Now)) {
-      appendCrashReport(*Report, Server, "request", Now, Out);
+    const auto Recorded = m_Context.m_Poison.recordCrash(Content, Server, Now);
+    if (Recorded.m_Report) {
+      appendCrashReport(*Recorded.m_Report, {.m_Server = Server}, "request", Now, Out);
+    } else if (Recorded.m_ClearedBy) {
+      Decision Entry{.m_Type = DecisionType::CrashNotBlamed,
+                     .m_Request = Recorded.m_ClearedBy->m_Request,
+                     .m_Took = Now - Recorded.m_ClearedBy->m_At,
+                     .m_Crashes = static_cast<std::uint32_t>(m_Context.m_Poison.moments(Content)),
+                     .m_Content = Content};
+      if (const BackendView *Backend = findBackend(Server)) {
+        addBackendState(Entry, *Backend, Now);
+      }
+      Out.push_back(std::move(Entry));
     }
   }
 }
 
 /// \param Source what showed it
-void Dispatcher::appendCrashReport(const CrashReport &Report, ServerId Server,
+void Dispatcher::appendCrashReport(const CrashReport &Report, const CrashEvidence &Evidence,
                                    std::string_view Source, TimePoint Now, Actions &Out) {
   Out.push_back(AnnounceCrashReport{Report});
   Decision Entry{.m_Type = DecisionType::CrashReportChanged,
+                 .m_Request = Evidence.m_Request,
                  .m_Crashes =
                      static_cast<std::uint32_t>(m_Context.m_Poison.moments(Report.m_Content)),
                  .m_Trials = Report.m_Trials,
-                 .m_ContentHash = Report.m_Content.m_Hash,
+                 .m_Content = Report.m_Content,
                  .m_Outcome = Source};
-  if (const BackendView *Backend = findBackend(Server)) {
+  if (const BackendView *Backend = findBackend(Evidence.m_Server)) {
     addBackendState(Entry, *Backend, Now);
   }
   Out.push_back(std::move(Entry));
--- a/src/kernel/reasons.cpp
+++ b/src/kernel/reasons.cpp
@@ -102,6 +102,8 @@
     return "server_limit_changed";
   case DecisionType::CrashReportChanged:
     return "crash_report_changed";
+  case DecisionType::CrashNotBlamed:
+    return "crash_not_blamed";
   case DecisionType::ServersUnreachable:
     return "servers_unreachable";
   case DecisionType::ServersReachable:
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -78,7 +78,8 @@
     Fields.push_back({"share_per_s", toTwoDecimals(*Made.m_LimitShare)});
   }
   if (Made.m_Crashes) {
-    Fields.push_back({"content", toHex(Made.m_ContentHash)});
+    Fields.push_back({"content", toHex(Made.m_Content.m_Hash)});
+    Fields.push_back({"digest", toHex(Made.m_Content.m_Digest[0])});
     Fields.push_back({"crashes", std::to_string(*Made.m_Crashes)});
     Fields.push_back({"trials", std::to_string(Made.m_Trials)});
   }
@@ -124,6 +125,7 @@
   case DecisionType::ServerCold:
   case DecisionType::ServerWarm:
   case DecisionType::CrashReportChanged:
+  case DecisionType::CrashNotBlamed:
   case DecisionType::ServersUnreachable:
   case DecisionType::ServersReachable:
     return true;
--- a/tests/unit-poison-tracker.cpp
+++ b/tests/unit-poison-tracker.cpp
@@ -16,7 +16,7 @@
   void crash(std::uint32_t Count) {
     for (std::uint32_t Server = 0; Server < Count; ++Server) {
       m_Now += seconds(1);
-      m_Last = m_Tracker.recordCrash(Content, ServerId{++m_LastServer}, m_Now);
+      m_Last = m_Tracker.recordCrash(Content, ServerId{++m_LastServer}, m_Now).m_Report;
     }
   }
 
@@ -39,7 +39,7 @@
 }
 
 TEST_F(PoisonTrackerTest, WhatHasJustBeenCompletedIsNotBlamed) {
-  m_Tracker.noteCompletion(Content.m_Hash, m_Now);
+  m_Tracker.noteCompletion({.m_Hash = Content.m_Hash, .m_At = m_Now});
   crash(5);
   EXPECT_EQ(m_Tracker.moments(Content), 0U);
   m_Now += PoisonTracker::CompletionLifetime;
@@ -49,7 +49,7 @@
 
 TEST_F(PoisonTrackerTest, AVmThatHasSeenItCompletedClearsWhatOthersSuspect) {
   PoisonTracker Other(2);
-  Other.noteCompletion(Content.m_Hash, m_Now);
+  Other.noteCompletion({.m_Hash = Content.m_Hash, .m_At = m_Now});
   crash(2);
   const auto Answer = Other.receive(*m_Last, 1, m_Now).m_Answer;
   ASSERT_TRUE(Answer);
@@ -95,8 +95,8 @@
 TEST_F(PoisonTrackerTest, ReportsOfSeveralVmsAddUpInAnyOrder) {
   PoisonTracker First(2);
   PoisonTracker Second(3);
-  auto FromFirst = First.recordCrash(Content, ServerId{1}, m_Now);
-  const auto FromSecond = Second.recordCrash(Content, ServerId{2}, m_Now + seconds(1));
+  auto FromFirst = First.recordCrash(Content, ServerId{1}, m_Now).m_Report;
+  const auto FromSecond = Second.recordCrash(Content, ServerId{2}, m_Now + seconds(1)).m_Report;
   m_Now += seconds(1);
   FromFirst->m_Crashes[0].m_Age = seconds(1);
   Second.receive(*FromFirst, 1, m_Now);
@@ -109,7 +109,7 @@
 TEST_F(PoisonTrackerTest, AVmThatKnowsLessIsTold) {
   crash(3);
   PoisonTracker Started(2);
-  const auto Known = Started.recordCrash(Content, ServerId{99}, m_Now + seconds(1));
+  const auto Known = Started.recordCrash(Content, ServerId{99}, m_Now + seconds(1)).m_Report;
   const auto Answer = m_Tracker.receive(*Known, 1, m_Now + seconds(1)).m_Answer;
   ASSERT_TRUE(Answer);
   Started.receive(*Answer, 1, m_Now + seconds(1));
