Crash reports: only a copy of the same request clears it

Callers: a request that crashes the servers which run it was sent to a server each time it came, without end, while others posted other records of the same length to the same path; requests that ran on those servers were lost.

Cause: PoisonTracker remembered completed requests by the fast hash of method, host, target and length of the body, and that hash acquitted by itself, both for crashes seen here and for those that other VMs report.

Nothing is digested before a crash.

--- a/include/vanillahill/kernel/poison_tracker.hpp
+++ b/include/vanillahill/kernel/poison_tracker.hpp
@@ -20,6 +20,8 @@
 struct RequestContents {
   std::function<std::optional<std::uint64_t>(RequestId)> m_Hash;
   std::function<std::optional<RequestContent>(RequestId)> m_Content;
+  /// The same for a request that a server has completed; nothing if it is no longer kept.
+  std::function<std::optional<RequestContent>(RequestId)> m_Completed;
   /// Whether another VM has passed the request on.
   std::function<bool(RequestId)> m_IsRelayed;
 };
@@ -49,8 +51,9 @@
   static constexpr std::size_t MomentsToBlock = 3;
   /// Crashes with less time between them belong to one moment.
   static constexpr Duration MomentSpacing = std::chrono::milliseconds(30);
-  /// Crashes are not held against a request of which this VM has seen a copy completed within this
-  /// time: whatever runs on many servers is there when several crash.
+  /// Crashes are not held against a request of which this VM has seen a copy, equal in all that
+  /// identifies a request, completed within this time: whatever runs on many servers is there when
+  /// several crash.
   static constexpr Duration CompletionLifetime = std::chrono::seconds(10);
   /// Completed requests that are remembered for that.
   static constexpr std::size_t MaxCompletions = 512;
@@ -77,7 +80,11 @@
   /// Announcements per second of one VM; some 900 servers may crash at once.
   static constexpr double AnnouncementsPerSecond = 20.0;
 
-  explicit PoisonTracker(std::uint64_t Seed = 0) : m_Random(Seed) {}
+  /// \param Completed see RequestContents; called only for requests with the same
+  /// RequestContent::m_Hash as one under which a server crashed
+  explicit PoisonTracker(std::uint64_t Seed = 0,
+                         std::function<std::optional<RequestContent>(RequestId)> Completed = {})
+      : m_Completed(std::move(Completed)), m_Random(Seed) {}
 
   /// \brief Whether a request with this hash has to be looked up.
   bool mayKnow(std::uint64_t Hash) const { return m_Hashes.contains(Hash); }
@@ -164,7 +171,7 @@
   const Entry *find(const RequestContent &Content) const;
   Entry &add(const RequestContent &Content, TimePoint Now);
   void makeRoom(TimePoint Now);
-  std::optional<Completion> recentCompletion(const RequestContent &Content, TimePoint Now) const;
+  std::optional<Completion> recentCompletion(const RequestContent &Content, TimePoint Now);
   static bool addCrash(Entry &Known, ServerId Server, TimePoint At);
   void updateBlock(Entry &Known, TimePoint Now);
   std::optional<CrashReport> announcementOf(Entry &Known, TimePoint Now);
@@ -181,8 +188,16 @@
   Requests m_Requests;
   /// RequestContent::m_Hash of each request.
   std::unordered_multiset<std::uint64_t> m_Hashes;
+  struct RememberedCompletion {
+    Completion m_Done;
+    /// Set once it is needed; stays empty if the request is no longer kept by then.
+    std::optional<RequestContent> m_Content = std::nullopt;
+    bool m_IsLookedUp = false;
+  };
+
+  std::function<std::optional<RequestContent>(RequestId)> m_Completed;
   /// The last completed requests; the next one replaces that at m_NextCompletion.
-  std::vector<Completion> m_Completions;
+  std::vector<RememberedCompletion> m_Completions;
   std::size_t m_NextCompletion = 0;
   std::mt19937_64 m_Random;
   double m_AnnouncementsLeft = AnnouncementsPerSecond;
--- a/include/vanillahill/net/detail/caller_server.hpp
+++ b/include/vanillahill/net/detail/caller_server.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "vanillahill/net/detail/caller_request.hpp"
+#include "vanillahill/net/detail/completed_requests.hpp"
 #include "vanillahill/net/detail/dialect.hpp"
 #include "vanillahill/net/detail/types.hpp"
 #include "vanillahill/observe/metrics.hpp"
@@ -53,6 +54,10 @@
   /// disconnected.
   CallerRequestPtr findRequest(RequestId Id) const;
 
+  /// \brief The request with this id if it was answered lately with the reply of a server.
+  /// \return null if it is not kept, see CompletedRequests
+  CallerRequestPtr findCompleted(RequestId Id) const;
+
   /// \brief Makes each further answer end its connection.
   void leave();
 
@@ -120,6 +125,7 @@
   std::atomic<std::size_t> m_VmConnections = 0;
   std::unordered_map<std::uint64_t, std::shared_ptr<CallerConnection>> m_Connections;
   std::unordered_map<RequestId, OpenRequest> m_Requests;
+  CompletedRequests m_Completed;
 };
 
 } // namespace vanillahill::net
--- a/src/kernel/node.cpp
+++ b/src/kernel/node.cpp
@@ -33,7 +33,7 @@
                        .m_Local = {m_Context.m_Self}};
   m_Context.m_Random.seed(m_Options.m_Seed);
   m_Context.m_Contents = m_Options.m_Contents;
-  m_Context.m_Poison = PoisonTracker(m_Options.m_Seed);
+  m_Context.m_Poison = PoisonTracker(m_Options.m_Seed, m_Options.m_Contents.m_Completed);
 }
 
 Node::Node(NodeOptions Options) : m_State(std::make_unique<State>(std::move(Options))) {}
--- a/src/kernel/poison_tracker.cpp
+++ b/src/kernel/poison_tracker.cpp
@@ -1,6 +1,7 @@
 #include "vanillahill/kernel/poison_tracker.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillahill::kernel {
 
@@ -152,20 +153,28 @@
 
 void PoisonTracker::noteCompletion(const Completion &Done) {
   if (m_Completions.size() < MaxCompletions) {
-    m_Completions.push_back(Done);
+    m_Completions.push_back({.m_Done = Done});
     return;
   }
-  m_Completions[m_NextCompletion] = Done;
+  m_Completions[m_NextCompletion] = {.m_Done = Done};
   m_NextCompletion = (m_NextCompletion + 1) % MaxCompletions;
 }
 
 std::optional<Completion> PoisonTracker::recentCompletion(const RequestContent &Content,
-                                                          TimePoint Now) const {
-  const auto Found =
-      std::find_if(m_Completions.begin(), m_Completions.end(), [&](const Completion &Each) {
-        return Each.m_Hash == Content.m_Hash && Now - Each.m_At < CompletionLifetime;
-      });
-  return Found != m_Completions.end() ? std::optional(*Found) : std::nullopt;
+                                                          TimePoint Now) {
+  for (RememberedCompletion &Each : m_Completions) {
+    const bool IsRecent = Now - Each.m_Done.m_At < CompletionLifetime;
+    if (!IsRecent || Each.m_Done.m_Hash != Content.m_Hash) {
+      continue;
+    }
+    if (!std::exchange(Each.m_IsLookedUp, true) && m_Completed) {
+      Each.m_Content = m_Completed(Each.m_Done.m_Request);
+    }
+    if (Each.m_Content == Content) {
+      return Each.m_Done;
+    }
+  }
+  return std::nullopt;
 }
 
 PoisonTracker::Recorded PoisonTracker::recordCrash(const RequestContent &Content, ServerId Server,
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -127,6 +127,9 @@
     }
     Open = std::move(Found->second);
     m_Requests.erase(Found);
+    if (Answer.m_Outcome == kernel::Outcome::Completed) {
+      m_Completed.add(Answer.m_Request, Open.m_Request);
+    }
   }
   m_Metrics.observeLatency(Open.m_Request->m_Kind, Answer.m_Outcome,
                            SystemClock().now() - Open.m_Arrived);
@@ -140,6 +143,11 @@
   return Found == m_Requests.end() ? nullptr : Found->second.m_Request;
 }
 
+CallerRequestPtr CallerServer::findCompleted(RequestId Id) const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Completed.find(Id);
+}
+
 bool CallerServer::isRelayed(RequestId Id) const {
   const std::lock_guard Lock(m_Mutex);
   const auto Found = m_Requests.find(Id);
--- a/tests/probed_harness.hpp
+++ b/tests/probed_harness.hpp
@@ -142,14 +142,12 @@
       Context.m_DataCenter = dataCenterOf(Vm);
       Context.m_Fleet = fleetOf(Vm, Vms);
       Context.m_Random.seed(20261203 + Vm);
-      Context.m_Poison = PoisonTracker(20261204 + Vm);
+      Context.m_Poison = PoisonTracker(
+          20261204 + Vm, [this](RequestId Request) { return completedContent(Request); });
       Context.m_Contents = {
           .m_Hash = [this](RequestId Request) { return hashOf(Request); },
           .m_Content = [this](RequestId Request) -> std::optional<RequestContent> {
-            ++m_DigestsMade;
-            const auto Hash = hashOf(Request);
-            return Hash ? std::optional(RequestContent{.m_Hash = *Hash, .m_Digest = {*Hash, 1}})
-                        : std::nullopt;
+            return hashOf(Request) ? digest(Request) : std::nullopt;
           },
           .m_IsRelayed = [this](RequestId Request) { return m_RelayOf.contains(Request); }};
       Context.m_Helpers.set(helpersOf(Vm, Vms));
@@ -229,7 +227,8 @@
       Running.m_IsOrphan = Running.m_IsOrphan || Running.m_Vm == Vm;
     }
     std::erase_if(m_LimitToldAt, [Vm](const auto &Told) { return Told.first.second == Vm; });
-    m_Contexts[Vm].m_Poison = PoisonTracker(++m_LastRequest);
+    m_Contexts[Vm].m_Poison = PoisonTracker(
+        ++m_LastRequest, [this](RequestId Request) { return completedContent(Request); });
     m_Dispatchers[Vm] = std::make_unique<Dispatcher>(
         DispatcherOptions{.m_Settings = m_Settings, .m_Now = m_Now}, m_Contexts[Vm]);
     changeFleet(Vm, std::move(Fleet));
@@ -472,6 +471,10 @@
   std::size_t m_LimitAnnouncements = 0;
   /// Announcements of servers that crashed under requests.
   std::size_t m_CrashAnnouncements = 0;
+  /// RequestContent::m_Hash of what a request asks for; by default nothing else has the same.
+  std::function<std::uint64_t(std::uint64_t Content)> m_HashOf = [](std::uint64_t Content) {
+    return Content;
+  };
   /// Digests of requests that were computed.
   std::size_t m_DigestsMade = 0;
   /// Time that each request has from its arrival.
@@ -579,7 +582,19 @@
   std::optional<std::uint64_t> hashOf(RequestId Request) const {
     const auto Found = m_Contents.find(Request);
     const bool IsOpen = Found != m_Contents.end() && !m_Answers.contains(Request);
-    return IsOpen ? std::optional(Found->second) : std::nullopt;
+    return IsOpen ? std::optional(m_HashOf(Found->second)) : std::nullopt;
+  }
+
+  std::optional<RequestContent> completedContent(RequestId Request) {
+    const auto Found = m_Answers.find(Request);
+    const bool IsKept = Found != m_Answers.end() && Found->second.m_Outcome == Outcome::Completed;
+    return IsKept ? digest(Request) : std::nullopt;
+  }
+
+  std::optional<RequestContent> digest(RequestId Request) {
+    ++m_DigestsMade;
+    const std::uint64_t Content = m_Contents.at(Request);
+    return RequestContent{.m_Hash = m_HashOf(Content), .m_Digest = {Content, 1}};
   }
 
   void announceCrashReport(std::size_t Vm, const CrashReport &Report) {
--- a/tests/unit-callers.cpp
+++ b/tests/unit-callers.cpp
@@ -177,6 +177,25 @@
   EXPECT_EQ(Caller.receive().body(), "done");
 }
 
+// Guards against a completed request that cannot be told from others of its path and length.
+TEST_F(CallerTest, ACompletedRequestCanStillBeLookedUpARefusedOneCannot) {
+  auto Caller = client();
+  Caller.send(LookRequest);
+  const auto Completed = nextRequest().m_Request;
+  EXPECT_EQ(m_Server->findCompleted(Completed), nullptr);
+  complete(Completed, "done");
+  Caller.receive();
+  ASSERT_NE(m_Server->findCompleted(Completed), nullptr);
+  EXPECT_EQ(m_Server->findCompleted(Completed)->m_Message.target(), "/desk/look/1");
+
+  Caller.send(LookRequest);
+  const auto Refused = nextRequest().m_Request;
+  kernel::Answer Refusal{.m_Request = Refused, .m_Outcome = kernel::Outcome::NotRun};
+  m_Server->answer(Refusal);
+  Caller.receive();
+  EXPECT_EQ(m_Server->findCompleted(Refused), nullptr);
+}
+
 TEST_F(CallerTest, ReportsCallerGoneWhenCallerDisconnectsBeforeAnswer) {
   RequestId Id{};
   {
--- a/tests/unit-poison-tracker.cpp
+++ b/tests/unit-poison-tracker.cpp
@@ -9,6 +9,21 @@
 using std::chrono::seconds;
 
 constexpr RequestContent Content{.m_Hash = 1, .m_Digest = {2, 3}};
+/// Another request with the same method, path and length.
+constexpr RequestContent Alike{.m_Hash = 1, .m_Digest = {4, 5}};
+
+constexpr RequestId CompletedCopy{1};
+constexpr RequestId CompletedAlike{2};
+/// Completed, but no longer kept.
+constexpr RequestId Forgotten{3};
+
+PoisonTracker makeTracker(std::uint64_t Seed) {
+  return PoisonTracker(Seed, [](RequestId Request) {
+    return Request == CompletedCopy    ? std::optional(Content)
+           : Request == CompletedAlike ? std::optional(Alike)
+                                       : std::nullopt;
+  });
+}
 
 class PoisonTrackerTest : public testing::Test {
 protected:
@@ -20,7 +35,12 @@
     }
   }
 
-  PoisonTracker m_Tracker{1};
+  /// This VM sees a request completed that has the path and length of Content.
+  void complete(PoisonTracker &Tracker, RequestId Request) const {
+    Tracker.noteCompletion({.m_Request = Request, .m_Hash = Content.m_Hash, .m_At = m_Now});
+  }
+
+  PoisonTracker m_Tracker = makeTracker(1);
   TimePoint m_Now = TimePoint{} + std::chrono::hours(1);
   std::optional<CrashReport> m_Last;
   std::uint32_t m_LastServer = 0;
@@ -39,7 +59,7 @@
 }
 
 TEST_F(PoisonTrackerTest, WhatHasJustBeenCompletedIsNotBlamed) {
-  m_Tracker.noteCompletion({.m_Hash = Content.m_Hash, .m_At = m_Now});
+  complete(m_Tracker, CompletedCopy);
   crash(5);
   EXPECT_EQ(m_Tracker.moments(Content), 0U);
   m_Now += PoisonTracker::CompletionLifetime;
@@ -48,8 +68,8 @@
 }
 
 TEST_F(PoisonTrackerTest, AVmThatHasSeenItCompletedClearsWhatOthersSuspect) {
-  PoisonTracker Other(2);
-  Other.noteCompletion({.m_Hash = Content.m_Hash, .m_At = m_Now});
+  PoisonTracker Other = makeTracker(2);
+  complete(Other, CompletedCopy);
   crash(2);
   const auto Answer = Other.receive(*m_Last, 1, m_Now).m_Answer;
   ASSERT_TRUE(Answer);
@@ -57,6 +77,34 @@
   EXPECT_EQ(m_Tracker.moments(Content), 0U);
 }
 
+// Guards against others of its path and length clearing a request that crashes servers.
+TEST_F(PoisonTrackerTest, OnlyTheSameRequestClearsItHere) {
+  complete(m_Tracker, CompletedAlike);
+  complete(m_Tracker, Forgotten);
+  crash(3);
+  EXPECT_EQ(m_Tracker.moments(Content), 3U);
+}
+
+TEST_F(PoisonTrackerTest, OnlyTheSameRequestClearsWhatOthersSuspect) {
+  PoisonTracker Other = makeTracker(2);
+  complete(Other, CompletedAlike);
+  complete(Other, Forgotten);
+  crash(3);
+  const auto Merged = Other.receive(*m_Last, 1, m_Now);
+  EXPECT_FALSE(Merged.m_ClearedBy);
+  EXPECT_EQ(Other.moments(Content), 3U);
+}
+
+TEST_F(PoisonTrackerTest, NamesTheCompletionForWhichNothingIsBlamed) {
+  complete(m_Tracker, CompletedAlike);
+  complete(m_Tracker, CompletedCopy);
+  const auto Recorded = m_Tracker.recordCrash(Content, ServerId{1}, m_Now + milliseconds(300));
+  EXPECT_FALSE(Recorded.m_Report);
+  ASSERT_TRUE(Recorded.m_ClearedBy);
+  EXPECT_EQ(Recorded.m_ClearedBy->m_Request, CompletedCopy);
+  EXPECT_EQ(Recorded.m_ClearedBy->m_At, m_Now);
+}
+
 TEST_F(PoisonTrackerTest, ASuspectIsSentAgainAfterAPauseAndABlockedRequestAfterALongerOne) {
   crash(2);
   EXPECT_GE(m_Tracker.blockedFor(Content, m_Now), PoisonTracker::RetestPause);
