Stop: send nothing that the end of the stop would break off

Callers: in a planned stop, a request that became complete late (its body was slow) was passed on whatever time was left, and answered 502 some milliseconds later, when the stop ends open requests, while its server worked on. Requests that may not be repeated were among them.

Cause: the closed listener and idle connections were the only guard. A connection on which a request has begun to arrive is not idle, and nothing compared the work of a request with the time that the stop leaves; nor was that done for what waits for a connection, a tenant's share or a key, is repeated, hedged or relayed.

Now the kernel knows when open requests will be ended. A request whose deadline is later is sent only if twice its expected work ends before; else it is refused at once and has not run. Asked at arrival, before each attempt and, by the pool, while an attempt waits for a connection. The server's deadline ends with the stop.

Shown first by StopTest.ARequestThatBecomesCompleteTooLateToFinishIsRefusedUnsent on with a real process: the server got the request, the caller 502 at the end.

--- a/include/vanillahill/kernel/dispatcher_base.hpp
+++ b/include/vanillahill/kernel/dispatcher_base.hpp
@@ -43,6 +43,8 @@
   PoisonTracker m_Poison;
   ServerReach m_Reach;
   RelayHelpers m_Helpers;
+  /// When this VM, which is stopping, ends the requests that are still open.
+  TimePoint m_EndsAt = TimePoint::max();
 };
 
 /// Decides for the requests of one service: which server gets them, and when to wait, refuse, retry
--- a/include/vanillahill/kernel/events.hpp
+++ b/include/vanillahill/kernel/events.hpp
@@ -300,7 +300,11 @@
 };
 
 /// The process was told to stop.
-struct StopRequested {};
+struct StopRequested {
+  /// Time until StopOverdue, if that will follow: a request that cannot be answered by then is
+  /// refused rather than sent.
+  std::optional<Duration> m_EndsAfter = std::nullopt;
+};
 
 /// The time for finishing requests after StopRequested is over. Each request that is still open is
 /// ended: its attempts are cancelled, and it is answered as Unknown if it may have run, else as
@@ -325,6 +329,8 @@
   ServerId m_Server{};
   /// The complete reply must have been received by then.
   TimePoint m_Deadline{};
+  /// The attempt ends as NotSent if it still waits for a connection then.
+  TimePoint m_SendBy = TimePoint::max();
 };
 
 /// Abandon an attempt; its connection is closed, never reused.
@@ -332,6 +338,11 @@
   AttemptId m_Attempt{};
 };
 
+/// End the attempts that wait for a connection and whose deadline is later than this, as NotSent.
+struct EndWaitingAttempts {
+  TimePoint m_Deadline{};
+};
+
 /// The one and final answer to a request.
 struct Answer {
   RequestId m_Request{};
@@ -437,11 +448,11 @@
 /// Nothing is in flight any more after StopAccepting: the process may exit.
 struct Stopped {};
 
-using Action = std::variant<Dispatch, CancelAttempt, Answer, SendPeer, ConnectPeers, AppendLog,
-                            Probe, SettingsChanged, TellServerFailure, AnnounceServerLimit,
-                            AnnounceServerCold, SendTenantQuery, SendTenantVerdict,
-                            SendTenantReturn, SendTokenRequest, SendTokenGrant, AnnounceCrashReport,
-                            AnnounceReach, Decision, StopAccepting, Stopped>;
+using Action = std::variant<Dispatch, CancelAttempt, EndWaitingAttempts, Answer, SendPeer,
+                            ConnectPeers, AppendLog, Probe, SettingsChanged, TellServerFailure,
+                            AnnounceServerLimit, AnnounceServerCold, SendTenantQuery,
+                            SendTenantVerdict, SendTenantReturn, SendTokenRequest, SendTokenGrant,
+                            AnnounceCrashReport, AnnounceReach, Decision, StopAccepting, Stopped>;
 using Actions = std::vector<Action>;
 
 } // namespace vanillahill::kernel
--- a/include/vanillahill/kernel/probed/dispatcher.hpp
+++ b/include/vanillahill/kernel/probed/dispatcher.hpp
@@ -129,6 +129,13 @@
   bool tryRelay(Request &Pending, TimePoint Now, Actions &Out);
   void relayEnded(const Attempt &Sent, const AttemptEnded &Ended, TimePoint Now, Actions &Out);
 
+  // A stop of this VM.
+  bool isStopping() const { return m_Context.m_EndsAt != TimePoint::max(); }
+  TimePoint sendBy(const Request &Pending, double WorkSeconds) const;
+  bool isTooLate(const Request &Pending, TimePoint Now) const;
+  bool isTooLate(const Request &Pending, const BackendView &Backend, TimePoint Now) const;
+  void refuseLate(Request &Pending, TimePoint Now, Actions &Out);
+
   // Requests that crash servers.
   std::optional<RequestContent> trackedContent(RequestId Request) const;
   bool isHeldBack(const Request &Pending, TimePoint Now) const;
--- a/include/vanillahill/kernel/probed/work_estimate.hpp
+++ b/include/vanillahill/kernel/probed/work_estimate.hpp
@@ -40,6 +40,9 @@
   /// \brief Sets the time that a request is assumed to take until one has finished.
   void setAssumedSeconds(double Seconds) { m_AssumedSeconds = Seconds; }
 
+  /// \brief Whether a request has finished.
+  bool isLearned() const { return !m_Seconds.empty(); }
+
   /// \brief Usual time at a quick server that is not nearly full, seconds.
   double usualSeconds() const { return m_Seconds.empty() ? m_AssumedSeconds : m_Seconds.value(); }
 
--- a/include/vanillahill/net/detail/backend_exchange.hpp
+++ b/include/vanillahill/net/detail/backend_exchange.hpp
@@ -14,6 +14,8 @@
   CallerRequestPtr m_Request = nullptr;
   ServerId m_Server{};
   TimePoint m_Deadline{};
+  /// See kernel::Dispatch.
+  TimePoint m_SendBy = TimePoint::max();
   /// The server's name in the settings.
   std::string m_ServerName = {};
   /// Target of a probe.
--- a/include/vanillahill/net/detail/backend_pool.hpp
+++ b/include/vanillahill/net/detail/backend_pool.hpp
@@ -48,6 +48,10 @@
   /// \brief Cancels an attempt. Its connection, if it has one, is closed.
   void cancel(AttemptId Id);
 
+  /// \brief Ends the attempts that wait for a connection and whose deadline is later than this, as
+  /// NotSent.
+  void endWaitingAttempts(TimePoint Deadline);
+
   /// \brief Sends a probe; ProbeEnded follows exactly once.
   void probe(ServerId Target);
 
@@ -68,6 +72,8 @@
     std::shared_ptr<const BackendExchange> m_Exchange;
     BackendConnectionPtr m_Connection;
     std::shared_ptr<asio::steady_timer> m_Timer;
+    /// Runs until BackendExchange::m_SendBy; null if nothing limits that.
+    std::shared_ptr<asio::steady_timer> m_SendTimer;
   };
 
   /// One server with its connections.
@@ -110,6 +116,8 @@
   void startExchange(BackendExchange NewExchange);
   void startDeadlineTimer(const std::shared_ptr<const BackendExchange> &Exchange,
                           asio::steady_timer &Deadline);
+  std::shared_ptr<asio::steady_timer> startSendTimer(const BackendExchange &Exchange);
+  bool endIfWaiting(std::uint64_t Id);
   void abandonExchange(std::uint64_t Id, bool IsLate);
   void assignIdleConnections(Server &Target, PendingActions &Actions);
   void setAddress(Server &Target, const std::string &Address, PendingActions &Actions);
--- a/include/vanillahill/net/detail/stop_plan.hpp
+++ b/include/vanillahill/net/detail/stop_plan.hpp
@@ -50,6 +50,9 @@
   /// \brief How long new requests are accepted after the request to stop.
   static constexpr Duration acceptTime(Duration Grace) { return share(Grace, AcceptShare); }
 
+  /// \brief How long open requests may be answered after the request to stop.
+  static constexpr Duration answerTime(Duration Grace) { return share(Grace, AnswerShare); }
+
   /// \brief Starts the plan.
   /// \return false if a stop was requested before; the plan is then unchanged
   bool request(TimePoint Now, Duration Grace) {
--- a/src/kernel/node_state.hpp
+++ b/src/kernel/node_state.hpp
@@ -263,9 +263,13 @@
 
   void onEvent(const FleetChanged &Input, TimePoint Now, Actions &Out);
 
-  void onEvent(const StopRequested & /*Input*/, TimePoint Now, Actions &Out) {
+  void onEvent(const StopRequested &Input, TimePoint Now, Actions &Out) {
     if (!m_AcceptUntil) {
       m_AcceptUntil = Now + m_Options.m_DrainLinger;
+      if (Input.m_EndsAfter) {
+        m_Context.m_EndsAt = Now + *Input.m_EndsAfter;
+        Out.push_back(EndWaitingAttempts{m_Context.m_EndsAt});
+      }
       m_Members.setState(peer::VmState::Leaving);
       tickMembership(Now, Out);
     }
--- a/src/kernel/probed/dispatcher.cpp
+++ b/src/kernel/probed/dispatcher.cpp
@@ -138,6 +138,10 @@
   if (refuseIfHeldBack(Added, Now, Out)) {
     return;
   }
+  if (isTooLate(Added, Now)) {
+    refuseLate(Added, Now, Out);
+    return;
+  }
   m_Timers.push({.m_At = Deadline, .m_Type = RequestTimerType::Deadline, .m_Request = Id});
   checkReach(Now, Out);
   if (!isUnreachable()) {
@@ -217,6 +221,10 @@
     }
     return;
   }
+  if (isTooLate(Pending, m_Backends[Index], Now)) {
+    refuseLate(Pending, Now, Out);
+    return;
+  }
   const bool IsFirst = Pending.m_Purpose == SearchPurpose::FirstAttempt;
   const Kind &RequestKind = m_Kinds[Pending.m_Kind];
   if (!RequestKind.m_Settings.m_Idempotent && m_Context.m_Gate != nullptr) {
@@ -249,7 +257,8 @@
                                                                     : DecisionType::Hedged,
                    Pending, Now);
   addBackendState(Entry, Backend, Now);
-  Entry.m_Expected = toDuration(Backend.expectedSeconds(m_Kinds[Pending.m_Kind].m_Work, Now));
+  const double ExpectedSeconds = Backend.expectedSeconds(m_Kinds[Pending.m_Kind].m_Work, Now);
+  Entry.m_Expected = toDuration(ExpectedSeconds);
   Entry.m_Asked = m_LastSampled;
   Out.push_back(std::move(Entry));
   Backend.countSentRequest();
@@ -262,7 +271,8 @@
   Out.push_back(Dispatch{.m_Request = Pending.m_Id,
                          .m_Attempt = Sent.m_Id,
                          .m_Server = Sent.m_Server,
-                         .m_Deadline = Pending.m_Deadline});
+                         .m_Deadline = std::min(Pending.m_Deadline, m_Context.m_EndsAt),
+                         .m_SendBy = sendBy(Pending, ExpectedSeconds)});
   if (Pending.m_Purpose != SearchPurpose::Hedge) {
     startHedgeTimer(Pending, Now);
   }
@@ -297,8 +307,8 @@
   // A request that may have crashed a server is not sent to two at a time.
   const auto Tracked = trackedContent(Pending.m_Id);
   if ((Tracked && m_Context.m_Poison.moments(*Tracked) > 0) || Pending.m_Running.size() != 1 ||
-      Pending.m_Search || !HasAttemptsLeft || !m_RetryBudget.hasToken() ||
-      !m_ProbeBudget.allowsMoreRounds(Now)) {
+      Pending.m_Search || !HasAttemptsLeft || isTooLate(Pending, Now) ||
+      !m_RetryBudget.hasToken() || !m_ProbeBudget.allowsMoreRounds(Now)) {
     return;
   }
   if (isUnreachable()) {
@@ -314,7 +324,8 @@
                                    TimePoint Now, Actions &Out) {
   // The running attempt may have failed during the search.
   if (Pending.m_Running.empty()) {
-    if (Best && !Best->m_IsReserved && !isHeldBack(Pending, Now) && m_RetryBudget.tryTakeToken()) {
+    if (Best && !Best->m_IsReserved && !isHeldBack(Pending, Now) &&
+        !isTooLate(Pending, m_Backends[Best->m_Backend], Now) && m_RetryBudget.tryTakeToken()) {
       sendAttempt(Pending, Best->m_Backend, Now, Out);
     } else {
       giveUpRequest(Pending, Now, Out);
@@ -325,7 +336,7 @@
   const double WorkSeconds = m_Kinds[Pending.m_Kind].m_Work.usualSeconds();
   constexpr double MaxCostMultiple = 2.0;
   if (!HasSpareSlots || Best->m_Cost > MaxCostMultiple * WorkSeconds ||
-      !m_RetryBudget.tryTakeToken()) {
+      isTooLate(Pending, m_Backends[Best->m_Backend], Now) || !m_RetryBudget.tryTakeToken()) {
     return;
   }
   ++m_Kinds.counters(Pending.m_Kind).m_Retries[static_cast<std::size_t>(RetryReason::Hedge)];
--- a/src/kernel/probed/dispatcher_attempts.cpp
+++ b/src/kernel/probed/dispatcher_attempts.cpp
@@ -119,10 +119,10 @@
     addFailure(*Backend, Ended.m_WrongServer ? SetAsideScore : RefusedRequestWeight, Now, Out);
     return;
   case AttemptResult::NotSent:
-    // During a pause, when a limit falls or an evacuation begins, requests that wait for a
+    // During a pause, when a limit falls, an evacuation or a stop begins, requests that wait for a
     // connection are not sent.
     if (!Backend->m_Fitness.isPaused(Now) && !Backend->m_Fitness.limit().hasJustFallen(Now) &&
-        !Backend->m_Settings.m_IsEvacuated) {
+        !Backend->m_Settings.m_IsEvacuated && !isStopping()) {
       addFailure(*Backend, 1.0, Now, Out);
     }
     return;
@@ -212,7 +212,7 @@
     return false;
   }
   const bool HasTime = Now + toDuration(RequestKind.m_Work.usualSeconds()) < Pending.m_Deadline;
-  if (!HasTime || isHeldBack(Pending, Now) ||
+  if (!HasTime || isHeldBack(Pending, Now) || isTooLate(Pending, Now) ||
       !hasUsableBackend(m_Backends, criteriaOf(Pending, Now), Now) ||
       (IsCharged && !m_RetryBudget.tryTakeToken())) {
     return false;
@@ -229,6 +229,10 @@
     return;
   }
   if (!Pending.m_MayHaveRun) {
+    if (isTooLate(Pending, Now)) {
+      refuseLate(Pending, Now, Out);
+      return;
+    }
     const bool IsUnreached = isUnreachable() || Pending.m_Unreached > 0;
     if (IsUnreached && tryRelay(Pending, Now, Out)) {
       return;
--- a/src/kernel/probed/dispatcher_reach.cpp
+++ b/src/kernel/probed/dispatcher_reach.cpp
@@ -119,7 +119,7 @@
 bool Dispatcher::tryRelay(Request &Pending, TimePoint Now, Actions &Out) {
   const auto &Tried = Pending.m_TriedHelpers;
   if (Tried.size() == Tried.capacity() || Now >= Pending.m_Deadline || isRelayed(Pending) ||
-      isHeldBack(Pending, Now)) {
+      isHeldBack(Pending, Now) || isTooLate(Pending, Now)) {
     return false;
   }
   const auto Helper =
@@ -146,10 +146,12 @@
   Pending.m_Running.push_back(Sent.m_Id);
   Pending.m_TriedHelpers.push_back(*Helper);
   announceIfTrial(Pending, Now, Out);
-  Out.push_back(Dispatch{.m_Request = Pending.m_Id,
-                         .m_Attempt = Sent.m_Id,
-                         .m_Server = *Helper,
-                         .m_Deadline = Pending.m_Deadline});
+  Out.push_back(
+      Dispatch{.m_Request = Pending.m_Id,
+               .m_Attempt = Sent.m_Id,
+               .m_Server = *Helper,
+               .m_Deadline = std::min(Pending.m_Deadline, m_Context.m_EndsAt),
+               .m_SendBy = sendBy(Pending, m_Kinds[Pending.m_Kind].m_Work.usualSeconds())});
   return true;
 }
 
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -128,7 +128,25 @@
   startExchange({.m_Id = raw(Dispatch.m_Attempt),
                  .m_Request = std::move(Request),
                  .m_Server = Dispatch.m_Server,
-                 .m_Deadline = Dispatch.m_Deadline});
+                 .m_Deadline = Dispatch.m_Deadline,
+                 .m_SendBy = Dispatch.m_SendBy});
+}
+
+void BackendPool::endWaitingAttempts(TimePoint Deadline) {
+  std::vector<std::uint64_t> Ended;
+  {
+    const std::lock_guard Lock(m_Mutex);
+    for (auto &[Id, Target] : m_Servers) {
+      const auto Later = std::stable_partition(
+          Target.m_Waiting.begin(), Target.m_Waiting.end(), [&](std::uint64_t Waiting) {
+            const BackendExchange &Exchange = *m_Running.at(Waiting).m_Exchange;
+            return Exchange.isProbe() || Exchange.m_Deadline <= Deadline;
+          });
+      Ended.insert(Ended.end(), Later, Target.m_Waiting.end());
+      Target.m_Waiting.erase(Later, Target.m_Waiting.end());
+    }
+  }
+  endUnsent(Ended);
 }
 
 void BackendPool::probe(ServerId Target) {
@@ -161,7 +179,7 @@
     const auto Exchange = std::make_shared<const BackendExchange>(std::move(NewExchange));
     auto Deadline = std::make_shared<asio::steady_timer>(m_Io);
     startDeadlineTimer(Exchange, *Deadline);
-    m_Running[Id] = {Exchange, nullptr, std::move(Deadline)};
+    m_Running[Id] = {Exchange, nullptr, std::move(Deadline), startSendTimer(*Exchange)};
     if (Found == m_Servers.end() || !Found->second.mayGetRequests()) {
       Actions.m_NotSentIds.push_back(Id);
     } else {
@@ -186,9 +204,41 @@
   });
 }
 
+std::shared_ptr<asio::steady_timer> BackendPool::startSendTimer(const BackendExchange &Exchange) {
+  if (Exchange.m_SendBy >= Exchange.m_Deadline) {
+    return nullptr;
+  }
+  auto SendTimer = std::make_shared<asio::steady_timer>(m_Io);
+  SendTimer->expires_at(Exchange.m_SendBy);
+  SendTimer->async_wait([Self = shared_from_this(), Id = Exchange.m_Id](ErrorCode Failure) {
+    if (!Failure) {
+      Self->endIfWaiting(Id);
+    }
+  });
+  return SendTimer;
+}
+
+/// Ends an exchange that waits for a connection.
+/// \return false if it has one
+bool BackendPool::endIfWaiting(std::uint64_t Id) {
+  {
+    const std::lock_guard Lock(m_Mutex);
+    const auto Found = m_Running.find(Id);
+    if (Found == m_Running.end() || Found->second.m_Connection) {
+      return false;
+    }
+    std::erase(m_Servers[Found->second.m_Exchange->m_Server].m_Waiting, Id);
+  }
+  finishExchange(Id, {.m_Result = kernel::AttemptResult::NotSent});
+  return true;
+}
+
 void BackendPool::cancel(AttemptId Id) { abandonExchange(raw(Id), false); }
 
 void BackendPool::abandonExchange(std::uint64_t Id, bool IsLate) {
+  if (endIfWaiting(Id)) {
+    return;
+  }
   BackendConnectionPtr Connection;
   {
     const std::lock_guard Lock(m_Mutex);
@@ -197,16 +247,8 @@
       return;
     }
     Connection = Found->second.m_Connection;
-    if (!Connection) {
-      auto &Waiting = m_Servers[Found->second.m_Exchange->m_Server].m_Waiting;
-      std::erase(Waiting, Id);
-    }
-  }
-  if (Connection) {
-    Connection->abort(Id, IsLate);
-  } else {
-    finishExchange(Id, {.m_Result = kernel::AttemptResult::NotSent});
   }
+  Connection->abort(Id, IsLate);
 }
 
 /// Closes idle connections that the server may close at any moment: these must not carry a
@@ -222,9 +264,15 @@
 
 void BackendPool::assignIdleConnections(Server &Target, PendingActions &Actions) {
   closeExpiredConnections(Target, Actions);
+  const auto Now = SystemClock().now();
   while (!Target.m_Waiting.empty() && !Target.m_Idle.empty()) {
-    auto &Next = m_Running[Target.m_Waiting.front()];
+    const auto Id = Target.m_Waiting.front();
+    auto &Next = m_Running[Id];
     Target.m_Waiting.pop_front();
+    if (Now > Next.m_Exchange->m_SendBy) {
+      Actions.m_NotSentIds.push_back(Id);
+      continue;
+    }
     Next.m_Connection = std::move(Target.m_Idle.back());
     Target.m_Idle.pop_back();
     Actions.m_ToSend.emplace_back(Next.m_Connection, Next.m_Exchange);
@@ -303,6 +351,9 @@
     m_Running.erase(Found);
   }
   Ended.m_Timer->cancel();
+  if (Ended.m_SendTimer) {
+    Ended.m_SendTimer->cancel();
+  }
   if (Ended.m_Exchange->isProbe()) {
     const bool IsHealthy = End.m_Result == kernel::AttemptResult::Completed &&
                            End.m_Reply->m_Status == static_cast<unsigned>(http::status::ok) &&
--- a/src/net/entry.cpp
+++ b/src/net/entry.cpp
@@ -49,6 +49,7 @@
   void execute(kernel::Action &Step);
   void carryOut(kernel::Dispatch &Step);
   void carryOut(kernel::CancelAttempt &Step) { m_Pool->cancel(Step.m_Attempt); }
+  void carryOut(kernel::EndWaitingAttempts &Step) { m_Pool->endWaitingAttempts(Step.m_Deadline); }
   void carryOut(kernel::Answer &Step) { m_Callers->answer(Step); }
   void carryOut(kernel::SendPeer &Step) { m_Links->send(Step.m_To, std::move(Step.m_Message)); }
   void carryOut(kernel::ConnectPeers &Step) { m_Links->connect(Step.m_Vms); }
--- a/tests/probed_harness.hpp
+++ b/tests/probed_harness.hpp
@@ -355,6 +355,9 @@
   }
   void peerMark(std::size_t Index) { m_Dispatchers[0]->peerMark(serverId(Index), false, m_Now); }
 
+  /// A VM is told to stop: it ends the requests that are still open after this time.
+  void stop(std::size_t Vm, Duration EndsAfter) { m_Contexts[Vm].m_EndsAt = m_Now + EndsAfter; }
+
   /// Advances the clock and runs the events and timers that are due.
   void advance(Duration Step) {
     const TimePoint Until = m_Now + Step;
--- a/tests/unit-backend-pool.cpp
+++ b/tests/unit-backend-pool.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <thread>
 
 namespace vanillahill::net::fakes {
 namespace {
@@ -21,14 +22,16 @@
 protected:
   void applySettings(const SiteSettings &Site) { m_Pool->applySettings(Site); }
 
-  void dispatch(std::uint64_t Attempt, Duration Deadline = LongDeadline) {
+  void dispatch(std::uint64_t Attempt, Duration Deadline = LongDeadline,
+                TimePoint SendBy = TimePoint::max()) {
     auto Request = std::make_shared<CallerRequest>();
     Request->m_Message = {http::verb::post, "/desk/post/" + std::to_string(Attempt), 11};
     Request->m_Message.body() = "body";
     Request->m_Message.prepare_payload();
     m_Pool->dispatch({.m_Attempt = static_cast<AttemptId>(Attempt),
                       .m_Server = FirstServer,
-                      .m_Deadline = SystemClock().now() + Deadline},
+                      .m_Deadline = SystemClock().now() + Deadline,
+                      .m_SendBy = SendBy},
                      std::move(Request));
   }
 
@@ -366,6 +369,55 @@
   std::optional<Backend> m_Server;
 };
 
+TEST_F(WaitingRequestTest, IsNotSentAfterItsLatestTime) {
+  m_Server.emplace([this](const BackendRequest &Request) {
+    ++m_Received;
+    m_Go.wait();
+    return Backend::reply(Request, "");
+  });
+  auto Site = deskSettings({m_Server->port()});
+  Site.m_Services[0].m_Servers[0].m_MaxConnections = 1;
+  applySettings(Site);
+  dispatch(1);
+  const TimePoint SendBy = SystemClock().now() + std::chrono::milliseconds(30);
+  dispatch(2, LongDeadline, SendBy);
+  const AttemptEnded Ended = awaitAttemptEnded();
+  EXPECT_EQ(Ended.m_Attempt, AttemptId{2});
+  EXPECT_EQ(Ended.m_Result, AttemptResult::NotSent);
+  EXPECT_GE(SystemClock().now(), SendBy);
+  // One that has been sent is not affected.
+  m_Proceed.set_value();
+  EXPECT_EQ(awaitAttemptEnded().m_Result, AttemptResult::Completed);
+  dispatch(3, LongDeadline, SystemClock().now() + std::chrono::seconds(5));
+  EXPECT_EQ(awaitAttemptEnded().m_Result, AttemptResult::Completed);
+  EXPECT_EQ(m_Received, 2);
+}
+
+TEST_F(WaitingRequestTest, EndsWhenItsDeadlineIsAfterThatOfAStop) {
+  m_Server.emplace([this](const BackendRequest &Request) {
+    ++m_Received;
+    m_Go.wait();
+    return Backend::reply(Request, "");
+  });
+  auto Site = deskSettings({m_Server->port()});
+  Site.m_Services[0].m_Servers[0].m_MaxConnections = 1;
+  applySettings(Site);
+  dispatch(1);
+  while (m_Received == 0) {
+    std::this_thread::yield();
+  }
+  dispatch(2, std::chrono::seconds(20));
+  dispatch(3, std::chrono::seconds(5));
+  m_Pool->endWaitingAttempts(SystemClock().now() + std::chrono::seconds(10));
+  const AttemptEnded Ended = awaitAttemptEnded();
+  EXPECT_EQ(Ended.m_Attempt, AttemptId{2});
+  EXPECT_EQ(Ended.m_Result, AttemptResult::NotSent);
+  m_Proceed.set_value();
+  EXPECT_EQ(awaitAttemptEnded().m_Result, AttemptResult::Completed);
+  EXPECT_EQ(awaitAttemptEnded().m_Result, AttemptResult::Completed);
+  EXPECT_EQ(m_Received, 2);
+}
+
 /// Every refusal asks for a pause.
 ExchangeEnd readPausingReply(HttpReply Message, const BackendExchange &Exchange) {
   ExchangeEnd End = readExchangeReply(std::move(Message), Exchange);
--- a/tests/unit-platform-stop.cpp
+++ b/tests/unit-platform-stop.cpp
@@ -1,6 +1,7 @@
 #include "front_harness.hpp"
 
 #include "vanillahill/fleet/news.hpp"
+#include "vanillahill/net/detail/stop_plan.hpp"
 
 #include <gtest/gtest.h>
 
@@ -119,6 +120,56 @@
   EXPECT_EQ(Server.served(), 1);
 }
 
+// Guards against requests that are passed on late in a stop and then cut off.
+TEST_F(StopTest, ARequestThatBecomesCompleteTooLateToFinishIsRefusedUnsent) {
+  PlatformServer Server("i-1", [this](const BackendRequest &R) { return serveSilently(R); });
+  m_Store.put("keyed.op", "config", longConfiguration());
+  m_Store.put("keyed.servers", "i-1", Server.record());
+  RunningFront Vm(m_Store, {}, 0, Grace);
+  Vm.awaitReady();
+  std::string Text = longRequest("id-1");
+  Text.replace(Text.find("Content-Length: 0"), 17, "Content-Length: 2");
+  Client Caller(Vm.callerPort());
+  Caller.send(Text + "a");
+  // The request has begun to arrive before the stop.
+  EXPECT_EQ(Vm.ask("/look/1").result_int(), 200U);
+  const int ServedBefore = Server.served();
+  requestStop(Vm);
+  std::this_thread::sleep_for(Duration(Grace) * 7 / 10);
+  Caller.send("b");
+  const auto Answer = Caller.receive();
+  EXPECT_EQ(Answer.result_int(), 503U);
+  EXPECT_LT(elapsed(), Duration(Grace) * 5 / 6) << "what cannot be finished is refused at once";
+  EXPECT_FALSE(Answer.keep_alive());
+  const std::string LastLine = awaitStopped(Vm);
+  EXPECT_EQ(Server.served(), ServedBefore);
+  EXPECT_NE(LastLine.find("\"ended_may_have_run\":\"0\""), std::string::npos) << LastLine;
+}
+
+// Guards against servers that work on after the VM can no longer pass their reply on.
+TEST_F(StopTest, AServerIsNotGivenMoreTimeThanTheStopLeaves) {
+  std::atomic<int> TimeLeftMs = 0;
+  PlatformServer Server("i-1", [&](const BackendRequest &Request) {
+    TimeLeftMs = std::stoi(std::string(Request["Deadline-Ms"]));
+    return PlatformServer::reply(Request, "200 OK", "whole");
+  });
+  m_Store.put("keyed.op", "config", longConfiguration());
+  m_Store.put("keyed.servers", "i-1", Server.record());
+  RunningFront Vm(m_Store, {}, 0, Grace);
+  Vm.awaitReady();
+  // Shows how long such a request takes.
+  Client Caller(Vm.callerPort());
+  Caller.send(longRequest("id-1"));
+  EXPECT_EQ(Caller.receive().result_int(), 200U);
+  EXPECT_GT(TimeLeftMs, toMillis(Grace));
+  requestStop(Vm);
+  Client Late(Vm.callerPort());
+  Late.send(longRequest("id-2"));
+  EXPECT_EQ(Late.receive().result_int(), 200U);
+  EXPECT_LE(TimeLeftMs, toMillis(net::StopPlan::answerTime(Grace)));
+  awaitStopped(Vm);
+}
+
 TEST_F(StopTest, FurtherSignalsChangeNothing) {
   PlatformServer Server("i-1", [this](const BackendRequest &R) { return serveSilently(R); });
   m_Store.put("keyed.op", "config", longConfiguration());
--- a/tests/unit-stop-plan.cpp
+++ b/tests/unit-stop-plan.cpp
@@ -146,6 +146,18 @@
   std::unique_ptr<Node> m_Node;
 };
 
+// Guards against requests that get a connection late in a stop.
+TEST_F(StopOverdueTest, AttemptsThatWaitForAConnectionBeyondTheStopAreEnded) {
+  const auto Ended =
+      actionsOf<EndWaitingAttempts>(send(StopRequested{.m_EndsAfter = std::chrono::seconds(5)}));
+  ASSERT_EQ(Ended.size(), 1U);
+  EXPECT_EQ(Ended[0].m_Deadline, m_Clock.now() + std::chrono::seconds(5));
+  m_Clock.advance(Ms(100));
+  EXPECT_TRUE(
+      actionsOf<EndWaitingAttempts>(send(StopRequested{.m_EndsAfter = std::chrono::seconds(5)}))
+          .empty());
+}
+
 TEST_F(StopOverdueTest, ARequestThatWasNeverSentDidNotRunAndASentOneMayHave) {
   const AttemptId Sent = startStop();
   const Actions Overdue = send(StopOverdue{});
