Stop: the margin follows how much the work of requests varies

WorkEstimate learns the mean deviation of a request from its expected time; four deviations are added, a tenth of the expected time at least.

--- a/include/vanillahill/kernel/probed/work_estimate.hpp
+++ b/include/vanillahill/kernel/probed/work_estimate.hpp
@@ -5,6 +5,7 @@
 #include "vanillahill/kernel/ewma.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillahill::kernel::probed {
 
@@ -13,6 +14,8 @@
 /// slows down depends on the service. Not thread safe.
 class WorkEstimate {
 public:
+  /// Mean deviation from the expected time, as a share of it, assumed before the first samples.
+  static constexpr double InitialDeviation = 0.25;
   /// Factor assumed for a nearly full server before the first sample.
   static constexpr double InitialNearlyFullFactor = 1.5;
   /// A server that reports a slowdown below this is quick.
@@ -35,6 +38,7 @@
     // average.
     m_SlowdownShare.add(1.0);
     m_NearlyFullFactor.add(InitialNearlyFullFactor);
+    m_Deviation.add(InitialDeviation);
   }
 
   /// \brief Sets the time that a request is assumed to take until one has finished.
@@ -53,6 +57,13 @@
     return IsNearlyFull ? Factor * m_NearlyFullFactor.value() : Factor;
   }
 
+  /// \brief Multiple of its expected time within which nearly every request ends.
+  double longestFactor() const {
+    constexpr double DeviationsCovered = 4.0;
+    constexpr double MinMargin = 0.1;
+    return 1.0 + std::max(DeviationsCovered * m_Deviation.value(), MinMargin);
+  }
+
   double nearlyFullFactor() const { return m_NearlyFullFactor.value(); }
 
   /// \brief Whether a server's throughput stays the same or falls when it uses one slot more than
@@ -64,6 +75,7 @@
 
   /// \brief Learns from a finished request.
   void addSample(const Sample &Done) {
+    noteDeviation(Done);
     const bool IsQuick = Done.m_ReportedSlowdown < QuickSlowdown;
     if (IsQuick && !Done.m_WasNearlyFull) {
       m_Seconds.add(Done.m_Seconds / Done.m_UnreportedFactor);
@@ -84,10 +96,20 @@
   }
 
 private:
+  void noteDeviation(const Sample &Done) {
+    if (m_Seconds.empty()) {
+      return;
+    }
+    const double Expected = m_Seconds.value() * Done.m_UnreportedFactor *
+                            slowdownFactor(Done.m_ReportedSlowdown, Done.m_WasNearlyFull);
+    m_Deviation.add(std::min(std::abs(Done.m_Seconds / Expected - 1.0), MaxDeviation));
+  }
+
   /// Upper bounds of single samples, so that one that was slow for another reason has little
   /// effect.
   static constexpr double MaxNearlyFullFactor = 3.0;
   static constexpr double MaxSlowdownShare = 1.5;
+  static constexpr double MaxDeviation = 3.0;
   static constexpr double SecondsRate = 0.05;
   static constexpr double EffectRate = 0.1;
 
@@ -95,6 +117,7 @@
   Ewma m_Seconds{0.1, SecondsRate};
   Ewma m_SlowdownShare{1.0, EffectRate};
   Ewma m_NearlyFullFactor{InitialNearlyFullFactor, EffectRate};
+  Ewma m_Deviation{InitialDeviation, EffectRate};
 };
 
 } // namespace vanillahill::kernel::probed
--- a/src/kernel/probed/dispatcher_stop.cpp
+++ b/src/kernel/probed/dispatcher_stop.cpp
@@ -12,17 +12,15 @@
     return TimePoint::max();
   }
   const Kind &RequestKind = m_Kinds[Pending.m_Kind];
-  const Duration Target = RequestKind.m_Settings.m_TargetLatency;
-  if (!RequestKind.m_Work.isLearned() && Target <= Duration::zero()) {
-    // It may take until its deadline.
-    return TimePoint::min();
+  const double TargetSeconds = toSeconds(RequestKind.m_Settings.m_TargetLatency);
+  if (!RequestKind.m_Work.isLearned()) {
+    if (TargetSeconds <= 0.0) {
+      // It may take until its deadline.
+      return TimePoint::min();
+    }
+    WorkSeconds = std::max(WorkSeconds, TargetSeconds);
   }
-  // Some requests take longer than expected.
-  constexpr double WorkMultiple = 2.0;
-  const Duration Expected = RequestKind.m_Work.isLearned()
-                                ? toDuration(WorkSeconds)
-                                : std::max(Target, toDuration(WorkSeconds));
-  return m_Context.m_EndsAt - std::chrono::duration_cast<Duration>(Expected * WorkMultiple);
+  return m_Context.m_EndsAt - toDuration(WorkSeconds * RequestKind.m_Work.longestFactor());
 }
 
 bool Dispatcher::isTooLate(const Request &Pending, TimePoint Now) const {
--- a/tests/unit-stopping-vm.cpp
+++ b/tests/unit-stopping-vm.cpp
@@ -11,14 +11,20 @@
   explicit StoppingVm(std::size_t Vms = 1) : m_Service(4, {}, Vms) {}
 
   /// Lets the VM learn how long requests take.
-  void learn(Duration Work = milliseconds(100)) {
+  void learn(Duration Work = milliseconds(100), int Requests = 1) {
+    setWork(Work);
+    for (int Request = 0; Request < Requests; ++Request) {
+      for (const KindId Kind : {DispatcherHarness::Look, DispatcherHarness::Post}) {
+        m_Service.arrive(Kind);
+        m_Service.advance(seconds(1));
+      }
+    }
+  }
+
+  void setWork(Duration Work) {
     for (std::size_t Server = 0; Server < 4; ++Server) {
       m_Service.server(Server).m_Work = Work;
     }
-    for (const KindId Kind : {DispatcherHarness::Look, DispatcherHarness::Post}) {
-      m_Service.arrive(Kind);
-      m_Service.advance(seconds(1));
-    }
   }
 
   void expectRefusedUnsent(KindId Kind) {
@@ -67,6 +73,21 @@
   EXPECT_EQ(outcomeOf(DispatcherHarness::Post), Outcome::Completed);
 }
 
+TEST_F(StoppingVm, NeedsLittleMarginWhereAllRequestsTakeTheSameTime) {
+  learn(milliseconds(100), 40);
+  m_Service.stop(0, milliseconds(125));
+  EXPECT_EQ(outcomeOf(DispatcherHarness::Post), Outcome::Completed);
+}
+
+TEST_F(StoppingVm, NeedsMoreMarginWhereSomeRequestsTakeLonger) {
+  for (int Round = 0; Round < 40; ++Round) {
+    learn(milliseconds(Round % 4 == 0 ? 250 : 50));
+  }
+  // Twice the usual time of 100 ms is left.
+  m_Service.stop(0, milliseconds(200));
+  expectRefusedUnsent(DispatcherHarness::Post);
+}
+
 TEST_F(StoppingVm, ServesWhatHasItsAnswerByItsOwnDeadline) {
   learn(milliseconds(600));
   m_Service.stop(0, milliseconds(900));
@@ -128,9 +149,7 @@
 TEST_F(StoppingVm, DoesNotSendASecondCopyLate) {
   learn();
   m_Service.stop(0, milliseconds(210));
-  for (std::size_t Server = 0; Server < 4; ++Server) {
-    m_Service.server(Server).m_Work = milliseconds(700);
-  }
+  setWork(milliseconds(700));
   const std::size_t Sent = requestsSent();
   m_Service.arrive(DispatcherHarness::Look);
   m_Service.advance(milliseconds(600));
