--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -3,8 +3,9 @@
 # exhaustive exploration of repeats, which was stopped there after two minutes with one of its 14
 # tests done. What it explores is run under the sanitizers by unit-key-guard, unit-members and
 # unit-node-faults; the exploration itself runs in the optimised build. unit-limit-fleet,
-# unit-crash-requests, unit-crash-requests-alike and unit-cut-off run their fleets of 5 and 20 VMs here; those of 137 and 500 VMs run
-# in the optimised build, as do those of 147 and 472 VMs of unit-low-rate-placement.
+# unit-crash-requests, unit-crash-requests-alike and unit-cut-off run their fleets of 5 and 20 VMs
+# here; those of 137 and 500 VMs run in the optimised build, as do those of 147 and 472 VMs of
+# unit-low-rate-placement.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake -S . -B build-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug \
