Tests: a late repeat and the memory bound are judged by what they guard

DoesNotRepeatALostRequestLate passed with the check of the stop taken out: the second attempt used up max_attempts. MemoryIsBounded had a bound of 20 requests that no target states; it now follows from the limits of the class.

Two comments in the terms of the field.

--- a/include/vanillahill/kernel/poison_tracker.hpp
+++ b/include/vanillahill/kernel/poison_tracker.hpp
@@ -51,9 +51,8 @@
   static constexpr std::size_t MomentsToBlock = 3;
   /// Crashes with less time between them belong to one moment.
   static constexpr Duration MomentSpacing = std::chrono::milliseconds(30);
-  /// Crashes are not held against a request of which this VM has seen a copy, equal in all that
-  /// identifies a request, completed within this time: whatever runs on many servers is there when
-  /// several crash.
+  /// A crash does not count against a request if this VM has seen an identical one completed within
+  /// this time: a popular request is in flight whenever several servers crash.
   static constexpr Duration CompletionLifetime = std::chrono::seconds(10);
   /// Completed requests that are remembered for that.
   static constexpr std::size_t MaxCompletions = 512;
--- a/include/vanillahill/net/detail/completed_requests.hpp
+++ b/include/vanillahill/net/detail/completed_requests.hpp
@@ -11,8 +11,8 @@
 
 namespace vanillahill::net {
 
-/// Bounded in number and memory; the oldest requests go first. A request is kept as it is: nothing
-/// is computed before it is looked up. Not thread safe.
+/// Bounded in number and memory; the oldest requests are evicted first. Requests are shared, not
+/// copied, and no digest is computed on insertion. Not thread safe.
 class CompletedRequests {
 public:
   static constexpr std::size_t MaxRequests = 512;
--- a/tests/unit-completed-requests.cpp
+++ b/tests/unit-completed-requests.cpp
@@ -38,7 +38,8 @@
     Kept.add(idOfNumber(Number), requestOf(Number % 2 == 0 ? 30'000 : 0, 12'000));
     ASSERT_LE(Kept.bytes(), CompletedRequests::MaxBytes);
   }
-  EXPECT_GE(Kept.size(), 20U);
+  // No more is evicted than the last request needs.
+  EXPECT_GE(Kept.bytes(), CompletedRequests::MaxBytes - CompletedRequests::MaxRequestBytes);
 }
 
 TEST(CompletedRequests, ALargeRequestDoesNotPushOthersOut) {
--- a/tests/unit-stopping-vm.cpp
+++ b/tests/unit-stopping-vm.cpp
@@ -49,6 +49,13 @@
                       [](const Sent &Each) { return Each.m_Request.has_value(); }));
   }
 
+  /// The server to which a request was sent last.
+  ServerId lastServer() const {
+    const auto Last = std::find_if(m_Service.sent().rbegin(), m_Service.sent().rend(),
+                                   [](const Sent &Each) { return Each.m_Request.has_value(); });
+    return Last->m_Server;
+  }
+
   DispatcherHarness m_Service;
 };
 
@@ -130,19 +137,14 @@
 
 TEST_F(StoppingVm, DoesNotRepeatALostRequestLate) {
   learn();
-  m_Service.stop(0, milliseconds(300));
+  m_Service.stop(0, milliseconds(260));
   const std::size_t Sent = requestsSent();
   const RequestId Request = m_Service.arrive(DispatcherHarness::Look);
   m_Service.advance(milliseconds(90));
   ASSERT_EQ(requestsSent(), Sent + 1);
-  m_Service.advance(milliseconds(5));
-  m_Service.crash(m_Service.sent().back().m_Server);
-  m_Service.advance(milliseconds(30));
-  ASSERT_EQ(requestsSent(), Sent + 2) << "200 ms are left";
-  const ServerId Second = m_Service.sent().back().m_Server;
-  m_Service.crash(Second);
+  m_Service.crash(lastServer());
   m_Service.advance(seconds(1));
-  EXPECT_EQ(requestsSent(), Sent + 2);
+  EXPECT_EQ(requestsSent(), Sent + 1);
   EXPECT_EQ(m_Service.answerOf(Request).m_Outcome, Outcome::Unknown);
 }
 
