--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -353,6 +353,38 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class MemoryWatch:
+    """Kills a process whose memory exceeds the limit, as the platform does, and restarts it."""
+
+    def __init__(self, bed, limit_mb, restart_s=1.0):
+        self.bed = bed
+        self.limit = limit_mb * (1 << 20)
+        self.restart_s = restart_s
+        self.ends = {vm.name: 0 for vm in bed.vms}
+        self.restart_at = {}
+
+    async def run(self):
+        while True:
+            for vm in self.bed.vms:
+                self.check(vm)
+            await asyncio.sleep(0.005)
+
+    def check(self, vm):
+        if vm.process.poll() is None:
+            used = vm.memory()
+            vm.peak = max(vm.peak, used)
+            if used > self.limit:
+                vm.process.kill()
+                vm.process.wait()
+                self.ends[vm.name] += 1
+                self.bed.note("END", vm.name, f"uses {used >> 20} MiB of {self.limit >> 20}:",
+                              "the platform kills it")
+                self.restart_at[vm.name] = self.bed.clock() + self.restart_s
+        elif self.bed.clock() >= self.restart_at.get(vm.name, 0.0):
+            self.bed.note("restart", vm.name)
+            vm.start()
+
+
 def free_prefix():
     """A loopback network whose ports are free."""
     for number in range(1, 250):
