--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # is the project's own, tests/soak/store.py.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 - review/stand-2/*.py review/{6,7,8,9,10}/*.py tests/soak/{http1,store}.py <<'END'
+python3 - review/stand-2/*.py review/{6,7}/*.py tests/soak/{http1,store}.py <<'END'
 import os
 import sys
 
--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -79,7 +79,7 @@
             "terms": {"contracts": ["base", "drain", "config", "cost", "retry", "recover",
                                     "health", "platform"],
                       "tolerate": {"machines": 1, "zones": 0, "regions": 0},
-                      "bounds": {**BOUNDS, **bed.extra_bounds}}}))
+                      "bounds": BOUNDS}}))
 
     def start(self, stdout=None):
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
@@ -151,7 +151,7 @@
     Subclasses change answer().
     """
 
-    def __init__(self, bed, service, number, slots=6, work_s=0.09, body=b"", heartbeat_s=None):
+    def __init__(self, bed, service, number, slots=6, work_s=0.09, body=b""):
         self.bed = bed
         self.service = service
         self.name = f"i-{service}-{number}"
@@ -165,7 +165,6 @@
         self.waiting = 0
         self.sequence = 0
         self.state = "ready"
-        self.heartbeat_s = heartbeat_s or HEARTBEAT_S
         self.writers = set()
 
     async def start(self):
@@ -175,7 +174,7 @@
     async def beat(self):
         while True:
             self.register()
-            await asyncio.sleep(self.heartbeat_s)
+            await asyncio.sleep(HEARTBEAT_S)
 
     def register(self):
         self.sequence += 1
@@ -224,7 +223,6 @@
         await asyncio.sleep(self.work_s)
         writer.write(self.whole_answer(request_id))
         await writer.drain()
-        self.bed.answered_by_server(request_id)
         return True
 
     def whole_answer(self, request_id):
@@ -247,53 +245,14 @@
             await asyncio.sleep(self.next - now)
 
 
-class PacedReader:
-    """A stream whose bodies are read no faster than the link of their sender allows."""
-
-    def __init__(self, reader, pace):
-        self.reader = reader
-        self.pace = pace
-
-    async def readuntil(self, separator):
-        return await self.reader.readuntil(separator)
-
-    async def readline(self):
-        return await self.reader.readline()
-
-    async def readexactly(self, count):
-        parts = []
-        while count > 0:
-            part = await self.reader.readexactly(min(count, 1 << 16))
-            await self.pace.take(len(part))
-            parts.append(part)
-            count -= len(part)
-        return b"".join(parts)
-
-
-class PacedServer(Server):
-    """A sound server behind the links of the VMs."""
-
-    paces = {}
-
-    def __init__(self, *words, rate, **options):
-        super().__init__(*words, **options)
-        self.rate = rate
-
-    async def serve(self, reader, writer):
-        sender = writer.get_extra_info("peername")[0]
-        pace = self.paces.setdefault(sender, Pace(self.rate))
-        await super().serve(PacedReader(reader, pace), writer)
-
-
 class Bed:
     """The store, the servers and the VMs of one run, and the record of what happened."""
 
-    def __init__(self, folder, vms, limits, zones=("zone-a", "zone-b"), seed=1, extra_bounds=None):
+    def __init__(self, folder, vms, limits, zones=("zone-a", "zone-b"), seed=1):
         self.case = pathlib.Path(folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.zones = zones
         self.random = random.Random(seed)
-        self.extra_bounds = extra_bounds or {}
         self.prefix = free_prefix()
         self.begin = time.monotonic()
         self.store = Store(self.clock)
@@ -313,9 +272,6 @@
         self.runs.setdefault(request_id, []).append(server)
         self.note("ran", request_id, "at", server, f"body={len(request.body)}")
 
-    def answered_by_server(self, request_id):
-        self.note("answered-by-server", request_id)
-
     def publish(self, version, routes, services, limits=None):
         resources = [{"resource_kind": "routes", "metadata": {"name": name}, "spec": spec}
                      for name, spec in routes.items()]
@@ -455,54 +411,6 @@
             self.writer = None
 
 
-class Answer:
-    """What a client saw: a status and a whole body, or why there was none."""
-
-    def __init__(self, status=None, headers=None, body=b"", error=""):
-        self.status = status
-        self.headers = headers or {}
-        self.body = body
-        self.error = error
-
-    def __str__(self):
-        return str(self.status) if self.status else f"no answer ({self.error})"
-
-
-async def request(bed, vm, method, host, path, deadline_ms, body=b"", headers=(), limit_s=None,
-                  request_id=None):
-    """Sends one request on a new connection, and records it. Returns its id and the Answer."""
-    request_id = request_id or bed.next_id()
-    bed.note("sent", request_id, method, path, f"body={len(body)}", "to", vm.name)
-    answer = await exchange(vm, method, host, path, deadline_ms, body, headers, limit_s,
-                            request_id)
-    bed.note("client-got", request_id, answer)
-    return request_id, answer
-
-
-async def exchange(vm, method, host, path, deadline_ms, body, headers, limit_s, request_id):
-    try:
-        reader, writer = await asyncio.wait_for(asyncio.open_connection(vm.ip, FRONT_PORT), 1.0)
-    except (OSError, asyncio.TimeoutError) as error:
-        return Answer(error=f"connect: {type(error).__name__}")
-    try:
-        head = "\r\n".join([f"{method} {path} HTTP/1.1", f"Host: {host}",
-                            f"Request-Id: {request_id}", f"Deadline-Ms: {deadline_ms}",
-                            *(f"{name}: {value}" for name, value in headers),
-                            *([f"Content-Length: {len(body)}"] if body else [])])
-        writer.write(head.encode() + b"\r\n\r\n" + body)
-        limit = limit_s or deadline_ms / 1000 + 1.0
-        reply = await asyncio.wait_for(http1.read_message(reader), limit)
-        if reply is None:
-            return Answer(error="closed")
-        return Answer(reply.status, reply.headers, reply.body)
-    except asyncio.TimeoutError:
-        return Answer(error="nothing in time")
-    except (OSError, http1.ProtocolError, ValueError) as error:
-        return Answer(error=type(error).__name__)
-    finally:
-        writer.close()
-
-
 def main(play):
     """Runs play(trouble): returns True if the rule held. Exits with 0, 1 or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
